Serve a request, a gang and a configuration from end to end

Cause: the project was empty.

Ruled out: one process for all roles (kills and cuts could not be shown), and a planner kept in the store (nothing may be set aside for control).

Change: dogwoodd serves callers, operators and peers; dogwood is the command line; dogwood-standin plays the platform, runners and workers. A request goes caller, claim, runner and back. A gang is reserved, started, renewed, taken over by another VM and finished. A configuration is applied by compare-and-swap and watched by every VM. Decisions are first fit for now.

Before: nothing ran.

Conclusion: the path stands; its guarantees are not yet proved.

--- /dev/null
+++ b/cmd/dogwoodd/main.go
@@ -0,0 +1,21 @@
+// Command dogwoodd is the daemon that runs on every entry VM.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/dogwoodd"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ctx.Done()
+		// A second signal ends the process at once.
+		stop()
+	}()
+	os.Exit(dogwoodd.Run(ctx, os.Stdout, os.Stderr, os.Args[1:]))
+}
--- /dev/null
+++ b/internal/cli/fleetstatus/fleetstatus.go
@@ -0,0 +1,49 @@
+// Package fleetstatus is the command "dogwood fleet status".
+package fleetstatus
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/factory"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
+)
+
+// Options are the flags of the command.
+type Options struct {
+	Factory    *factory.Factory
+	Connection *factory.Connection
+}
+
+// New returns the command.
+func New(f *factory.Factory) *ffcli.Command {
+	fs := f.Flags("dogwood fleet status")
+	o := &Options{Factory: f, Connection: f.OperatorFlags(fs)}
+	return factory.Command{
+		Noun: "fleet", Verb: "status", Short: "Show the VMs as one of them sees them",
+		Examples: "  dogwood fleet status",
+		Flags:    fs,
+		Exec:     func(ctx context.Context, _ []string) error { return run(ctx, o) },
+	}.Build()
+}
+
+func run(ctx context.Context, o *Options) error {
+	var fleet operator.Fleet
+	if err := o.Factory.Call(ctx, o.Connection, http.MethodGet, "/v1/fleet", nil, nil, &fleet); err != nil {
+		return err
+	}
+	if o.Connection.JSON {
+		return o.Factory.PrintJSON(fleet)
+	}
+	rows := make([][]string, len(fleet.VMs))
+	for i, vm := range fleet.VMs {
+		rows[i] = []string{
+			vm.VMID, vm.DataCentre, vm.Region, strconv.FormatBool(vm.Planner),
+			strconv.FormatBool(vm.Leaving), strconv.FormatUint(vm.ConfigVersion, 10),
+		}
+	}
+	return o.Factory.PrintTable([]string{"vm", "data centre", "region", "planner", "leaving", "config"}, rows)
+}
--- /dev/null
+++ b/internal/control/config/document.go
@@ -0,0 +1,165 @@
+// Package config holds the operators' configuration: one set of defaults for
+// the fleet and a list of exceptions, each with its reason.
+package config
+
+import (
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/settings"
+)
+
+// Document is the whole configuration.
+type Document struct {
+	Defaults   Defaults    `toml:"defaults" json:"defaults"`
+	Kinds      []Kind      `toml:"kinds" json:"kinds"`
+	Accounts   []Account   `toml:"accounts" json:"accounts"`
+	Exceptions []Exception `toml:"exceptions" json:"exceptions"`
+}
+
+// Defaults hold for the whole fleet.
+type Defaults struct {
+	// QueueLimit bounds the requests that wait at one VM.
+	QueueLimit int `toml:"queue_limit" json:"queue_limit"`
+	// RetryShare is the share of an account's successes that may be spent on
+	// retries, between 0 and 1.
+	RetryShare float64 `toml:"retry_share" json:"retry_share"`
+	// AgeingLimit is the longest time that a request waits behind later ones
+	// of a class that goes before its own.
+	AgeingLimit settings.Duration `toml:"ageing_limit" json:"ageing_limit"`
+	// RequestTimeout is the deadline of a request that names none.
+	RequestTimeout settings.Duration `toml:"request_timeout" json:"request_timeout"`
+	// Lease is the time after which an unrenewed part of a gang stops.
+	Lease settings.Duration `toml:"lease" json:"lease"`
+	// StartWindow is the time in which all tasks of a gang must start.
+	StartWindow settings.Duration `toml:"start_window" json:"start_window"`
+	// CheckpointGrace is the time that a pre-empted job gets to keep its work.
+	CheckpointGrace settings.Duration `toml:"checkpoint_grace" json:"checkpoint_grace"`
+	// ClaimRetention is the time that claims and results are kept.
+	ClaimRetention settings.Duration `toml:"claim_retention" json:"claim_retention"`
+	// RetryHorizon is the time in which keys are refused after a roster was
+	// lost whole.
+	RetryHorizon settings.Duration `toml:"retry_horizon" json:"retry_horizon"`
+	// CompletionTimeWeight and FragmentationWeight set what placement prefers;
+	// neither is negative and their sum is positive.
+	CompletionTimeWeight float64 `toml:"completion_time_weight" json:"completion_time_weight"`
+	FragmentationWeight  float64 `toml:"fragmentation_weight" json:"fragmentation_weight"`
+}
+
+// Class orders requests and jobs; a lower class goes first.
+type Class string
+
+// The classes, in order.
+const (
+	Urgent Class = "urgent"
+	Normal Class = "normal"
+	Batch  Class = "batch"
+)
+
+// Rank returns the order of a class, 0 for the first.
+func (c Class) Rank() int {
+	switch c {
+	case Urgent:
+		return 0
+	case Normal:
+		return 1
+	}
+	return 2
+}
+
+// Kind is a kind of request or job.
+type Kind struct {
+	Name  string `toml:"name" json:"name"`
+	Class Class  `toml:"class" json:"class"`
+	// Idempotent says that running twice does no harm.
+	Idempotent bool `toml:"idempotent" json:"idempotent"`
+	// Service is the service of the runners that serve the kind; empty for
+	// kinds that run as jobs.
+	Service string `toml:"service" json:"service"`
+	// Expected is the usual service time.
+	Expected settings.Duration `toml:"expected" json:"expected"`
+}
+
+// Account is a client account.
+type Account struct {
+	ID string `toml:"id" json:"id"`
+	// Home is the data centre that claims the account's keys; empty for none.
+	Home      string    `toml:"home" json:"home"`
+	Guarantee Guarantee `toml:"guarantee" json:"guarantee"`
+}
+
+// Guarantee is what an account can always get back.
+type Guarantee struct {
+	// Slots is the account's share of the runners' slots.
+	Slots int `toml:"slots" json:"slots"`
+	// Workers and Accelerators are the guaranteed shape in each data centre:
+	// Workers workers with Accelerators adjacent accelerators each.
+	Workers      int `toml:"workers" json:"workers"`
+	Accelerators int `toml:"accelerators" json:"accelerators"`
+}
+
+// Scope says where an exception holds. Empty fields hold everywhere; at least
+// one is set.
+type Scope struct {
+	DataCentre string `toml:"data_centre" json:"data_centre,omitempty"`
+	Account    string `toml:"account" json:"account,omitempty"`
+	Target     string `toml:"target" json:"target,omitempty"`
+	Kind       string `toml:"kind" json:"kind,omitempty"`
+}
+
+// Exception changes defaults within a scope.
+type Exception struct {
+	// Reason is never empty.
+	Reason string `toml:"reason" json:"reason"`
+	Scope  Scope  `toml:"scope" json:"scope"`
+	// Expires ends the exception; the zero time means never.
+	Expires time.Time `toml:"expires" json:"expires,omitzero"`
+	Set     Overrides `toml:"set" json:"set"`
+}
+
+// Overrides are the values that an exception sets; nil fields are unchanged.
+type Overrides struct {
+	QueueLimit      *int               `toml:"queue_limit" json:"queue_limit,omitempty"`
+	RetryShare      *float64           `toml:"retry_share" json:"retry_share,omitempty"`
+	AgeingLimit     *settings.Duration `toml:"ageing_limit" json:"ageing_limit,omitempty"`
+	RequestTimeout  *settings.Duration `toml:"request_timeout" json:"request_timeout,omitempty"`
+	CheckpointGrace *settings.Duration `toml:"checkpoint_grace" json:"checkpoint_grace,omitempty"`
+	// Cordon stops new work at the scope's targets.
+	Cordon *bool `toml:"cordon" json:"cordon,omitempty"`
+}
+
+// DefaultDocument returns the configuration of a fleet that has none.
+func DefaultDocument() Document {
+	return Document{Defaults: Defaults{
+		QueueLimit:           4000,
+		RetryShare:           0.1,
+		AgeingLimit:          settings.Duration{Duration: 60 * time.Second},
+		RequestTimeout:       settings.Duration{Duration: 30 * time.Second},
+		Lease:                settings.Duration{Duration: 10 * time.Second},
+		StartWindow:          settings.Duration{Duration: 2 * time.Second},
+		CheckpointGrace:      settings.Duration{Duration: 500 * time.Millisecond},
+		ClaimRetention:       settings.Duration{Duration: 24 * time.Hour},
+		RetryHorizon:         settings.Duration{Duration: 15 * time.Minute},
+		CompletionTimeWeight: 1,
+		FragmentationWeight:  1,
+	}}
+}
+
+// KindNamed returns the kind of a name.
+func (d *Document) KindNamed(name string) (Kind, bool) {
+	for _, k := range d.Kinds {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
+
+// AccountNamed returns the account of an id.
+func (d *Document) AccountNamed(id string) (Account, bool) {
+	for _, a := range d.Accounts {
+		if a.ID == id {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
--- /dev/null
+++ b/internal/control/daemon/daemon.go
@@ -0,0 +1,281 @@
+// Package daemon joins the duties of dogwoodd.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/dispatch"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/planner"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/settings"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/gossip"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+)
+
+// Daemon is one dogwoodd.
+type Daemon struct {
+	settings settings.Settings
+	log      *slog.Logger
+	meter    *meter.Meter
+	self     *peerv1.Vm
+
+	store    *store.Client
+	vms      *vmlist.Client
+	keeper   *config.Keeper
+	gossip   *gossip.Table
+	dispatch *dispatch.Dispatcher
+	planner  *planner.Planner
+	desk     *job.Desk
+
+	callers   *echo.Echo
+	operators *echo.Echo
+	peers     *http.Server
+
+	loaded   atomic.Bool
+	draining atomic.Bool
+
+	mu      sync.Mutex
+	workers []vmlist.VM
+}
+
+// New joins the duties; token is the operators' shared secret.
+func New(s settings.Settings, token string, log *slog.Logger) *Daemon {
+	d := &Daemon{settings: s, log: log, meter: &meter.Meter{}}
+	d.self = &peerv1.Vm{
+		VmId: s.VMID, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, Region: s.Region,
+		PeerAddress: s.Listen.Peers, StartedUnixMs: time.Now().UnixMilli(),
+	}
+	platform := "http://" + s.Platform.Address
+	d.store = &store.Client{BaseURL: platform, Meter: d.meter}
+	d.vms = &vmlist.Client{BaseURL: platform}
+	d.keeper = &config.Keeper{KV: d.store, Meter: d.meter, Log: log}
+	d.gossip = &gossip.Table{
+		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: &http.Client{},
+		Source: d.fillHeartbeat,
+	}
+	d.joinWork()
+	d.joinListeners(token)
+	return d
+}
+
+func (d *Daemon) joinWork() {
+	records := &job.StoreRecords{KV: d.store}
+	d.dispatch = &dispatch.Dispatcher{
+		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
+		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
+	}
+	d.planner = &planner.Planner{
+		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
+		Records: records, Meter: d.meter, Log: d.log,
+	}
+	d.desk = &job.Desk{Self: d.self, Planner: d.planner, Peers: d.gossip, Records: records, Meter: d.meter}
+}
+
+func (d *Daemon) joinListeners(token string) {
+	limits := jsonhttp.Limits{
+		MaxBodyBytes:  d.settings.Limits.MaxBodyBytes,
+		MaxConcurrent: d.settings.Limits.MaxConcurrent,
+	}
+	d.callers = jsonhttp.NewEcho(limits, d.meter)
+	c := caller.Server{
+		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
+		Config: d.keeper.Current, Ready: d.Ready, Meter: d.meter,
+	}
+	c.Register(d.callers)
+	d.operators = jsonhttp.NewEcho(jsonhttp.Limits{}, d.meter)
+	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
+	o.Register(d.operators)
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk}))
+	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: jsonhttp.DefaultReadTimeout}
+}
+
+// Ready reports whether the VM takes new work.
+func (d *Daemon) Ready() bool { return d.loaded.Load() && !d.draining.Load() }
+
+func (d *Daemon) chosen() bool {
+	if !d.Ready() {
+		return false
+	}
+	vm := d.gossip.Planner(d.settings.DataCentre)
+	return vm.GetVmId() == d.settings.VMID
+}
+
+func (d *Daemon) fillHeartbeat(hb *peerv1.HeartbeatRequest) {
+	hb.From = proto.CloneOf(d.self)
+	hb.From.Leaving = d.draining.Load()
+	hb.ConfigVersion = d.keeper.Current().Version
+}
+
+// Run serves until ctx ends, then stops as planned: it refuses new work and
+// finishes what it has.
+func (d *Daemon) Run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 3)
+	if err := d.listen(failed); err != nil {
+		return err
+	}
+	d.refreshTargets(duties)
+	go d.load(duties)
+	go d.gossip.Run(duties)
+	go d.keeper.Run(duties)
+	go d.watchTargets(duties)
+	go d.planner.Run(duties)
+	d.log.Info("serving", "vm", d.settings.VMID, "data_centre", d.settings.DataCentre)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	return d.drain()
+}
+
+func (d *Daemon) listen(failed chan<- error) error {
+	addresses := []string{d.settings.Listen.Callers, d.settings.Listen.Operators, d.settings.Listen.Peers}
+	listeners := make([]net.Listener, len(addresses))
+	for i, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return fault.Wrap(fault.BadSettings, err, "listen on %s", a)
+		}
+		listeners[i] = l
+	}
+	go func() { failed <- jsonhttp.Serve(d.callers, listeners[0]) }()
+	go func() { failed <- jsonhttp.Serve(d.operators, listeners[1]) }()
+	go func() { failed <- d.peers.Serve(listeners[2]) }()
+	return nil
+}
+
+const (
+	loadRetryDelay  = 500 * time.Millisecond
+	refreshInterval = time.Second
+)
+
+// load reads the first configuration; the VM is not ready before.
+func (d *Daemon) load(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.keeper.Load(ctx)
+		if err == nil {
+			d.loaded.Store(true)
+			d.log.Info("ready")
+			return
+		}
+		d.meter.Inc("config_load_retry")
+		wait(ctx, loadRetryDelay)
+	}
+}
+
+func wait(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+func (d *Daemon) watchTargets(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, refreshInterval)
+		d.refreshTargets(ctx)
+	}
+}
+
+func (d *Daemon) refreshTargets(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshInterval)
+	defer cancel()
+	a, err := d.vms.List(ctx)
+	if err != nil {
+		d.meter.Inc("vmlist_error")
+		return
+	}
+	var runners, workers []vmlist.VM
+	var peers []string
+	for _, vm := range a.VMs {
+		switch vm.Role {
+		case vmlist.Runner:
+			runners = append(runners, vm)
+		case vmlist.Worker:
+			if vm.DataCentre == d.settings.DataCentre {
+				workers = append(workers, vm)
+			}
+		case vmlist.Entry:
+			peers = append(peers, vm.Address)
+		}
+	}
+	d.gossip.Addresses(peers)
+	d.dispatch.SetRunners(runners)
+	d.planner.SetWorkers(workers)
+	d.mu.Lock()
+	d.workers = workers
+	d.mu.Unlock()
+}
+
+// drain stops as planned.
+func (d *Daemon) drain() error {
+	d.log.Info("stopping")
+	d.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainTimeout.Duration)
+	defer cancel()
+	d.dispatch.Drain()
+	for _, e := range []*echo.Echo{d.callers, d.operators} {
+		if err := e.Server.Shutdown(ctx); err != nil {
+			return fault.Wrap(fault.Internal, err, "shut down")
+		}
+	}
+	_ = d.peers.Shutdown(ctx)
+	d.log.Info("stopped")
+	return nil
+}
+
+// Fleet returns the fleet as this VM sees it.
+func (d *Daemon) Fleet() operator.Fleet {
+	planner := d.gossip.Planner
+	f := operator.Fleet{Measures: d.planner.Measures()}
+	add := func(vm *peerv1.Vm, version uint64) {
+		f.VMs = append(f.VMs, operator.VMStatus{
+			VMID: vm.GetVmId(), DataCentre: vm.GetDataCentre(), Region: vm.GetRegion(), Leaving: vm.GetLeaving(),
+			Planner: planner(vm.GetDataCentre()).GetVmId() == vm.GetVmId(), ConfigVersion: version,
+		})
+	}
+	add(d.self, d.keeper.Current().Version)
+	for _, p := range d.gossip.Live() {
+		add(p.VM, p.State.GetConfigVersion())
+	}
+	return f
+}
+
+// Targets returns the targets as this VM sees them.
+func (d *Daemon) Targets() operator.Targets {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return operator.Targets{Runners: d.dispatch.Runners(), Workers: append([]vmlist.VM(nil), d.workers...)}
+}
+
+// Accounts returns the accounts as the planner at this VM sees them.
+func (d *Daemon) Accounts() []gang.AccountStatus { return d.planner.Accounts() }
+
+// Token reads a token from the content of its file.
+func Token(b []byte) string { return strings.TrimSpace(string(b)) }
--- /dev/null
+++ b/internal/core/jsonhttp/client.go
@@ -0,0 +1,120 @@
+// Package jsonhttp is the JSON over HTTP that the daemon speaks with callers,
+// operators, targets and the platform.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+// MaxAnswerBytes bounds the size of an answer that a client reads.
+const MaxAnswerBytes = 8 << 20
+
+// ErrorBody is the JSON form of every error answer.
+type ErrorBody struct {
+	Outcome fault.Outcome `json:"outcome"`
+	Kind    fault.Kind    `json:"kind"`
+	Message string        `json:"message"`
+	// Field names the wrong part of the input; empty when none is.
+	Field     string `json:"field,omitempty"`
+	Hint      string `json:"hint,omitempty"`
+	Retryable bool   `json:"retryable"`
+}
+
+// Client calls one server. The zero value with a base URL is ready to use.
+type Client struct {
+	// BaseURL has no trailing slash.
+	BaseURL string
+	// Token is sent as a bearer token when it is not empty.
+	Token string
+	// HTTP is http.DefaultClient when nil.
+	HTTP *http.Client
+	// Header is added to every request.
+	Header http.Header
+}
+
+// Call sends in as JSON and decodes the answer into out; either may be nil.
+//
+// The error is of the kind that the server named, of kind Unreachable when no
+// byte of the request was written, and of kind AnswerLost when the request may
+// have taken effect.
+func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return fault.Wrap(fault.BadRequest, err, "encode request")
+		}
+		body = bytes.NewReader(b)
+	}
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.BaseURL+path, body)
+	if err != nil {
+		return fault.Wrap(fault.BadRequest, err, "build request")
+	}
+	for k, v := range c.Header {
+		req.Header[k] = v
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		if sent.Load() {
+			return fault.Wrap(fault.AnswerLost, err, "%s %s", method, path)
+		}
+		return fault.Wrap(fault.Unreachable, err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decodeAnswer(resp, out)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func decodeAnswer(resp *http.Response, out any) error {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
+	if err != nil {
+		return fault.Wrap(fault.AnswerLost, err, "read answer")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errorFromBody(resp.StatusCode, b)
+	}
+	if out == nil || len(b) == 0 {
+		return nil
+	}
+	if raw, ok := out.(*[]byte); ok {
+		*raw = b
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fault.Wrap(fault.BadAnswer, err, "decode answer")
+	}
+	return nil
+}
+
+func errorFromBody(status int, b []byte) error {
+	var body ErrorBody
+	if err := json.Unmarshal(b, &body); err != nil || body.Kind == "" {
+		return fault.New(fault.BadAnswer, "status %d without an error body", status)
+	}
+	if body.Field != "" {
+		return fault.WithField(body.Kind, body.Field, "%s", body.Message)
+	}
+	return fault.New(body.Kind, "%s", body.Message)
+}
--- /dev/null
+++ b/internal/core/settings/settings.go
@@ -0,0 +1,257 @@
+// Package settings reads and checks the settings file of the daemon.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+// Settings are the daemon's own settings. What holds for the whole fleet is in
+// the configuration, not here.
+type Settings struct {
+	// VMID is unique in the fleet.
+	VMID string `toml:"vm_id"`
+	// DataCentre is the data centre that the VM stands in.
+	DataCentre string `toml:"data_centre"`
+	// Region is the region of the data centre.
+	Region    string    `toml:"region"`
+	Listen    Listen    `toml:"listen"`
+	Platform  Platform  `toml:"platform"`
+	Peers     Peers     `toml:"peers"`
+	Operators Operators `toml:"operators"`
+	Log       Log       `toml:"log"`
+	Limits    Limits    `toml:"limits"`
+}
+
+// Listen holds the addresses that the daemon listens on. All are IP addresses
+// with a port, and no two are equal.
+type Listen struct {
+	Callers   string `toml:"callers"`
+	Operators string `toml:"operators"`
+	Peers     string `toml:"peers"`
+}
+
+// Platform holds the address of the platform's service.
+type Platform struct {
+	Address string `toml:"address"`
+}
+
+// Peers holds peer addresses that are asked before the platform's list is known.
+type Peers struct {
+	Seeds []string `toml:"seeds"`
+}
+
+// Operators holds how operators prove who they are.
+type Operators struct {
+	// TokenFile holds the shared secret.
+	TokenFile string `toml:"token_file"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `toml:"level"`
+	// Format is text or json.
+	Format string `toml:"format"`
+}
+
+// Limits bound the callers' listener.
+type Limits struct {
+	MaxBodyBytes  int64    `toml:"max_body_bytes"`
+	MaxConcurrent int      `toml:"max_concurrent"`
+	DrainTimeout  Duration `toml:"drain_timeout"`
+}
+
+// Duration is a time.Duration written with its unit, such as "10s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText parses a duration with its unit.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("accepted are durations with a unit, such as \"10s\" or \"500ms\"")
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalText writes a duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// Default values of settings.
+const (
+	DefaultMaxBodyBytes  = 1 << 20
+	DefaultMaxConcurrent = 4096
+	DefaultDrainTimeout  = 120 * time.Second
+)
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File string
+	// Line is 0 when the problem has no line, as for a missing field.
+	Line     int
+	Field    string
+	Message  string
+	Accepted string
+}
+
+// String returns the problem in the form FILE:LINE: FIELD: MESSAGE; accepted: VALUES.
+func (p Problem) String() string {
+	s := p.File
+	if p.Line > 0 {
+		s += fmt.Sprintf(":%d", p.Line)
+	}
+	s += ": " + p.Field + ": " + p.Message
+	if p.Accepted != "" {
+		s += "; accepted: " + p.Accepted
+	}
+	return s
+}
+
+// Parse reads the settings of a file without checking them whole.
+func Parse(file string, b []byte) (Settings, []Problem) {
+	s := Settings{
+		Log: Log{Level: "info", Format: "text"},
+		Limits: Limits{
+			MaxBodyBytes:  DefaultMaxBodyBytes,
+			MaxConcurrent: DefaultMaxConcurrent,
+			DrainTimeout:  Duration{DefaultDrainTimeout},
+		},
+	}
+	d := toml.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, problemsOf(file, err)
+	}
+	return s, nil
+}
+
+func problemsOf(file string, err error) []Problem {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var ps []Problem
+		for _, e := range strict.Errors {
+			line, _ := e.Position()
+			ps = append(ps, Problem{
+				File: file, Line: line, Field: strings.Join(e.Key(), "."),
+				Message: "is not a setting", Accepted: strings.Join(Names(), ", "),
+			})
+		}
+		return ps
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		line, _ := de.Position()
+		return []Problem{{File: file, Line: line, Field: strings.Join(de.Key(), "."), Message: strings.TrimPrefix(de.Error(), "toml: ")}}
+	}
+	return []Problem{{File: file, Field: "file", Message: err.Error()}}
+}
+
+// Names returns the names of all settings, sorted.
+func Names() []string {
+	names := []string{
+		"vm_id", "data_centre", "region", "listen.callers", "listen.operators", "listen.peers",
+		"platform.address", "peers.seeds", "operators.token_file", "log.level", "log.format",
+		"limits.max_body_bytes", "limits.max_concurrent", "limits.drain_timeout",
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Check returns all problems of the settings.
+func (s *Settings) Check(file string) []Problem {
+	c := checker{file: file}
+	c.nonEmpty("vm_id", s.VMID)
+	c.nonEmpty("data_centre", s.DataCentre)
+	c.nonEmpty("region", s.Region)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("platform.address", s.Platform.Address)
+	for i, seed := range s.Peers.Seeds {
+		c.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+	c.distinct(s.Listen)
+	c.nonEmpty("operators.token_file", s.Operators.TokenFile)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "text", "json")
+	c.positive("limits.max_body_bytes", s.Limits.MaxBodyBytes)
+	c.positive("limits.max_concurrent", int64(s.Limits.MaxConcurrent))
+	c.positive("limits.drain_timeout", int64(s.Limits.DrainTimeout.Duration))
+	return c.problems
+}
+
+// Error returns problems as one error, nil when there are none.
+func Error(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.String()
+	}
+	return fault.New(fault.BadSettings, "%s", strings.Join(lines, "\n"))
+}
+
+// SlogLevel returns the level of the log.
+func (l Log) SlogLevel() slog.Level {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(l.Level))
+	return level
+}
+
+type checker struct {
+	file     string
+	problems []Problem
+}
+
+func (c *checker) add(field, message, accepted string) {
+	c.problems = append(c.problems, Problem{File: c.file, Field: field, Message: message, Accepted: accepted})
+}
+
+func (c *checker) nonEmpty(field, v string) {
+	if v == "" {
+		c.add(field, "is missing", "a non-empty string")
+	}
+}
+
+func (c *checker) address(field, v string) {
+	ap, err := netip.ParseAddrPort(v)
+	if err != nil || ap.Port() == 0 {
+		c.add(field, fmt.Sprintf("%q is not an address", v), "an IP address with a port, such as 127.0.0.1:7001")
+	}
+}
+
+func (c *checker) distinct(l Listen) {
+	if l.Callers == "" {
+		return
+	}
+	if l.Callers == l.Operators || l.Callers == l.Peers || l.Operators == l.Peers {
+		c.add("listen", "two listeners have the same address", "three different addresses")
+	}
+}
+
+func (c *checker) oneOf(field, v string, accepted ...string) {
+	for _, a := range accepted {
+		if v == a {
+			return
+		}
+	}
+	c.add(field, fmt.Sprintf("%q is not known", v), strings.Join(accepted, ", "))
+}
+
+func (c *checker) positive(field string, v int64) {
+	if v <= 0 {
+		c.add(field, fmt.Sprintf("%d is not positive", v), "a value over 0")
+	}
+}
--- /dev/null
+++ b/internal/peer/gossip/gossip.go
@@ -0,0 +1,213 @@
+// Package gossip exchanges heartbeats between the daemons.
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
+)
+
+// Times of the heartbeat protocol.
+const (
+	// Interval is the time between two heartbeats to one peer.
+	Interval = time.Second
+	// SilentAfter is the time without a heartbeat after which a peer is not
+	// counted as live.
+	SilentAfter = 3 * time.Second
+	// ForgetAfter is the time without a heartbeat after which a peer is no
+	// longer called.
+	ForgetAfter = 10 * time.Minute
+	callTimeout = 800 * time.Millisecond
+)
+
+// Source fills the parts of a heartbeat that other duties own.
+type Source func(hb *peerv1.HeartbeatRequest)
+
+// Sink takes a heartbeat that came from a peer.
+type Sink func(hb *peerv1.HeartbeatRequest)
+
+// Peer is what this VM knows of another one.
+type Peer struct {
+	VM       *peerv1.Vm
+	LastSeen time.Time
+	State    *peerv1.HeartbeatRequest
+}
+
+// Table exchanges heartbeats and keeps the latest of every peer. Its fields are
+// set before Run.
+type Table struct {
+	Self   *peerv1.Vm
+	Seeds  []string
+	Meter  *meter.Meter
+	Log    *slog.Logger
+	HTTP   *http.Client
+	Source Source
+	Sink   Sink
+
+	mu    sync.Mutex
+	peers map[string]*Peer // by peer address
+}
+
+// Run sends heartbeats until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	tick := time.NewTicker(Interval)
+	defer tick.Stop()
+	for {
+		t.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Addresses adds peer addresses that were learnt from the platform's list.
+func (t *Table) Addresses(addresses []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range addresses {
+		t.add(a)
+	}
+}
+
+// add makes a peer known. t.mu is held.
+func (t *Table) add(address string) *Peer {
+	if t.peers == nil {
+		t.peers = make(map[string]*Peer)
+	}
+	if address == t.Self.PeerAddress || address == "" {
+		return nil
+	}
+	p, ok := t.peers[address]
+	if !ok {
+		p = &Peer{VM: &peerv1.Vm{PeerAddress: address}, LastSeen: time.Now()}
+		t.peers[address] = p
+	}
+	return p
+}
+
+func (t *Table) round(ctx context.Context) {
+	t.Addresses(t.Seeds)
+	hb := t.Heartbeat()
+	var wg sync.WaitGroup
+	for _, address := range t.known() {
+		wg.Go(func() { t.call(ctx, address, hb) })
+	}
+	wg.Wait()
+}
+
+func (t *Table) known() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []string
+	for a, p := range t.peers {
+		if time.Since(p.LastSeen) > ForgetAfter {
+			delete(t.peers, a)
+			continue
+		}
+		all = append(all, a)
+	}
+	return all
+}
+
+func (t *Table) call(ctx context.Context, address string, hb *peerv1.HeartbeatRequest) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := t.Client(address).Heartbeat(ctx, hb)
+	if err != nil {
+		t.Meter.Inc("heartbeat_lost")
+		return
+	}
+	t.Receive(resp.GetState())
+}
+
+// Client returns a client of the peer at an address.
+func (t *Table) Client(address string) peerv1connect.PeerServiceClient {
+	return peerv1connect.NewPeerServiceClient(t.HTTP, "http://"+address)
+}
+
+// Heartbeat returns this VM's current heartbeat.
+func (t *Table) Heartbeat() *peerv1.HeartbeatRequest {
+	hb := &peerv1.HeartbeatRequest{From: t.Self}
+	for _, p := range t.Live() {
+		hb.Known = append(hb.Known, p.VM)
+	}
+	if t.Source != nil {
+		t.Source(hb)
+	}
+	return hb
+}
+
+// Receive takes a peer's heartbeat.
+func (t *Table) Receive(hb *peerv1.HeartbeatRequest) {
+	if hb.GetFrom().GetPeerAddress() == "" {
+		return
+	}
+	t.mu.Lock()
+	p := t.add(hb.GetFrom().GetPeerAddress())
+	if p == nil {
+		t.mu.Unlock()
+		return
+	}
+	fresh := p.State == nil || p.VM.GetIncarnation() != hb.GetFrom().GetIncarnation()
+	p.VM, p.State, p.LastSeen = hb.GetFrom(), hb, time.Now()
+	for _, vm := range hb.GetKnown() {
+		t.add(vm.GetPeerAddress())
+	}
+	t.mu.Unlock()
+	if fresh {
+		t.Log.Info("peer is live", "vm", p.VM.GetVmId(), "data_centre", p.VM.GetDataCentre())
+	}
+	if t.Sink != nil {
+		t.Sink(hb)
+	}
+}
+
+// Live returns the peers heard of within SilentAfter, ordered by VM id. This
+// VM itself is not among them.
+func (t *Table) Live() []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var live []Peer
+	for _, p := range t.peers {
+		if p.State != nil && time.Since(p.LastSeen) <= SilentAfter {
+			live = append(live, *p)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].VM.GetVmId() < live[j].VM.GetVmId() })
+	return live
+}
+
+// Planner returns the VM that plans for a data centre: the longest-standing
+// live one that does not leave, ties by VM id. It is nil when none is live.
+func (t *Table) Planner(dataCentre string) *peerv1.Vm {
+	var best *peerv1.Vm
+	candidates := []*peerv1.Vm{t.Self}
+	for _, p := range t.Live() {
+		candidates = append(candidates, p.VM)
+	}
+	for _, vm := range candidates {
+		if vm.GetDataCentre() != dataCentre || vm.GetLeaving() {
+			continue
+		}
+		if best == nil || standsLonger(vm, best) {
+			best = vm
+		}
+	}
+	return best
+}
+
+func standsLonger(a, b *peerv1.Vm) bool {
+	if a.GetStartedUnixMs() != b.GetStartedUnixMs() {
+		return a.GetStartedUnixMs() < b.GetStartedUnixMs()
+	}
+	return a.GetVmId() < b.GetVmId()
+}
--- /dev/null
+++ b/internal/platform/store/store.go
@@ -0,0 +1,143 @@
+// Package store is the client of the platform's key-value service.
+package store
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+)
+
+// Entry is one key of the store.
+type Entry struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Revision is the store's revision of the last write; it grows with every
+	// write of any key.
+	Revision uint64 `json:"revision"`
+	// Deleted is set only in the answer to a watch.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// PutRequest is the body of a write.
+type PutRequest struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// IfRevision is the revision that the key must have; 0 means that the key
+	// must not exist.
+	IfRevision uint64 `json:"if_revision"`
+	// LeaseID binds the key to a lease; empty for none.
+	LeaseID string `json:"lease_id,omitempty"`
+}
+
+// DeleteRequest is the body of a deletion.
+type DeleteRequest struct {
+	Key        string `json:"key"`
+	IfRevision uint64 `json:"if_revision"`
+}
+
+// ListAnswer is the answer to a list or a watch.
+type ListAnswer struct {
+	Entries []Entry `json:"entries"`
+	// Revision is the store's revision at the time of the answer.
+	Revision uint64 `json:"revision"`
+}
+
+// PutAnswer is the answer to a write.
+type PutAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// DefaultCallTimeout bounds one call other than a watch.
+const DefaultCallTimeout = 2 * time.Second
+
+// DefaultWatchTimeout bounds how long one watch waits.
+const DefaultWatchTimeout = 60 * time.Second
+
+// Client calls the store. A zero timeout takes the default.
+//
+// Errors are of kind Conflict when a condition did not hold, StoreUnavailable
+// when the call took no effect, and ClaimUnresolved when a write may have taken
+// effect.
+type Client struct {
+	// BaseURL is the store's address, without a trailing slash.
+	BaseURL string
+	Meter   *meter.Meter
+	// CallTimeout bounds one call other than a watch.
+	CallTimeout time.Duration
+	HTTP        *http.Client
+}
+
+func (c *Client) call(ctx context.Context, name, method, path string, in, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.Meter.Inc("store_call_" + name)
+	h := jsonhttp.Client{BaseURL: c.BaseURL, HTTP: c.HTTP}
+	err := h.Call(ctx, method, path, in, out)
+	if err == nil {
+		return nil
+	}
+	if fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) {
+		return err
+	}
+	c.Meter.Inc("store_error_" + name)
+	if method == http.MethodGet || fault.Is(err, fault.Unreachable) || fault.Is(err, fault.StoreUnavailable) {
+		return fault.Wrap(fault.StoreUnavailable, err, "store")
+	}
+	return fault.Wrap(fault.ClaimUnresolved, err, "store")
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.CallTimeout == 0 {
+		return DefaultCallTimeout
+	}
+	return c.CallTimeout
+}
+
+// Get returns the entry of a key; found is false when the key does not exist.
+func (c *Client) Get(ctx context.Context, key string) (e Entry, found bool, err error) {
+	err = c.call(ctx, "get", http.MethodGet, "/v1/kv/get?key="+url.QueryEscape(key), nil, &e, c.timeout())
+	if fault.Is(err, fault.NotFound) {
+		return Entry{}, false, nil
+	}
+	return e, err == nil, err
+}
+
+// List returns all entries whose keys begin with prefix, and the store's revision.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	var a ListAnswer
+	err := c.call(ctx, "list", http.MethodGet, "/v1/kv/list?prefix="+url.QueryEscape(prefix), nil, &a, c.timeout())
+	return a.Entries, a.Revision, err
+}
+
+// Put writes a key whose revision is ifRevision and returns the new revision.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error) {
+	var a PutAnswer
+	in := PutRequest{Key: key, Value: value, IfRevision: ifRevision}
+	err := c.call(ctx, "put", http.MethodPost, "/v1/kv/put", in, &a, c.timeout())
+	return a.Revision, err
+}
+
+// Delete deletes a key whose revision is ifRevision.
+func (c *Client) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	in := DeleteRequest{Key: key, IfRevision: ifRevision}
+	return c.call(ctx, "delete", http.MethodPost, "/v1/kv/delete", in, nil, c.timeout())
+}
+
+// Watch waits for changes after a revision of keys that begin with prefix. It
+// returns no entries when nothing changed within the watch timeout.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error) {
+	q := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(DefaultWatchTimeout.Milliseconds(), 10)},
+	}
+	var a ListAnswer
+	err := c.call(ctx, "watch", http.MethodGet, "/v1/kv/watch?"+q.Encode(), nil, &a, DefaultWatchTimeout+c.timeout())
+	return a.Entries, a.Revision, err
+}
