Add a fleet of daemon processes for tests, and the record keeper

Cause: failures such as kills, pauses and cuts can only be shown on separate processes, and every area needs the same fleet for it. Job records must be kept the same way as claims.

Ruled out: a build step before the tests (the test binary runs itself as the daemon), and cutting links inside the daemon (nothing of a test belongs there).

Change: relays with a loopback address for each VM cut and freeze connections by source. A daemon calls from the IP address of its peer listener and may advertise another address than it listens on.

Before: no test of several processes.

Conclusion: the areas can be built and proved separately.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/record"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
@@ -66,14 +68,15 @@
 	d := &Daemon{settings: s, log: log, meter: &meter.Meter{}}
 	d.self = &peerv1.Vm{
 		VmId: s.VMID, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, Region: s.Region,
-		PeerAddress: s.Listen.Peers, StartedUnixMs: time.Now().UnixMilli(),
+		PeerAddress: s.Listen.AdvertisedPeers(), StartedUnixMs: time.Now().UnixMilli(),
 	}
 	platform := "http://" + s.Platform.Address
-	d.store = &store.Client{BaseURL: platform, Meter: d.meter}
-	d.vms = &vmlist.Client{BaseURL: platform}
+	client := &http.Client{Transport: transport(s.Listen.Peers)}
+	d.store = &store.Client{BaseURL: platform, Meter: d.meter, HTTP: client}
+	d.vms = &vmlist.Client{BaseURL: platform, HTTP: client}
 	d.keeper = &config.Keeper{KV: d.store, Meter: d.meter, Log: log}
 	d.gossip = &gossip.Table{
-		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: &http.Client{},
+		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
 		Source: d.fillHeartbeat,
 	}
 	d.joinWork()
@@ -81,8 +84,20 @@
 	return d
 }
 
+const dialTimeout = 2 * time.Second
+
+// transport returns a transport whose connections come from the IP address of
+// the peer listener, so that the others see one address per VM.
+func transport(peers string) *http.Transport {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if ap, err := netip.ParseAddrPort(peers); err == nil && !ap.Addr().IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
+	}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: jsonhttp.DefaultIdleTimeout}
+}
+
 func (d *Daemon) joinWork() {
-	records := &job.StoreRecords{KV: d.store}
+	records := &job.Records{Keeper: &record.Records{KV: d.store}}
 	d.dispatch = &dispatch.Dispatcher{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
 		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
@@ -90,6 +105,7 @@
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Meter: d.meter, Log: d.log,
+		HTTP: &http.Client{Transport: transport(d.settings.Listen.Peers)},
 	}
 	d.desk = &job.Desk{Self: d.self, Planner: d.planner, Peers: d.gossip, Records: records, Meter: d.meter}
 }
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sort"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	Records Records
 	Meter   *meter.Meter
 	Log     *slog.Logger
+	// HTTP calls the workers; http.DefaultClient when nil.
+	HTTP *http.Client
 
 	mu      sync.Mutex
 	active  bool
@@ -99,7 +102,7 @@
 	for _, vm := range vms {
 		c, ok := old[vm.ID]
 		if !ok || c.Address != vm.Address {
-			c = &worker.Client{Address: vm.Address, Meter: p.Meter}
+			c = &worker.Client{Address: vm.Address, Meter: p.Meter, HTTP: p.HTTP}
 		}
 		p.workers[vm.ID] = c
 		p.vms[vm.ID] = vm
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -39,6 +39,16 @@
 	Callers   string `toml:"callers"`
 	Operators string `toml:"operators"`
 	Peers     string `toml:"peers"`
+	// AdvertisePeers is the address that peers call; Peers when empty.
+	AdvertisePeers string `toml:"advertise_peers"`
+}
+
+// AdvertisedPeers returns the address that peers call.
+func (l Listen) AdvertisedPeers() string {
+	if l.AdvertisePeers != "" {
+		return l.AdvertisePeers
+	}
+	return l.Peers
 }
 
 // Platform holds the address of the platform's service.
@@ -160,7 +170,7 @@
 // Names returns the names of all settings, sorted.
 func Names() []string {
 	names := []string{
-		"vm_id", "data_centre", "region", "listen.callers", "listen.operators", "listen.peers",
+		"vm_id", "data_centre", "region", "listen.callers", "listen.operators", "listen.peers", "listen.advertise_peers",
 		"platform.address", "peers.seeds", "operators.token_file", "log.level", "log.format",
 		"limits.max_body_bytes", "limits.max_concurrent", "limits.drain_timeout",
 	}
@@ -177,6 +187,7 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.operators", s.Listen.Operators)
 	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.advertise_peers", s.Listen.AdvertisedPeers())
 	c.address("platform.address", s.Platform.Address)
 	for i, seed := range s.Peers.Seeds {
 		c.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,352 @@
+// Package fleet starts a small fleet for tests: the stand-ins in the test's own
+// process and every daemon as a process of its own, each VM with its own
+// loopback address and behind relays that can cut and freeze its connections.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/dogwoodd"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/platform"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/relay"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/runner"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/worker"
+)
+
+const daemonVariable = "DOGWOODWORKS_TEST_DAEMON"
+
+// Main is called by TestMain of a package whose tests start a fleet. In a child
+// process it runs the daemon instead of the tests.
+func Main(m *testing.M) {
+	if os.Getenv(daemonVariable) == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	code := dogwoodd.Run(ctx, os.Stdout, os.Stderr, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+// VM describes an entry VM of a fleet.
+type VM struct {
+	ID         string
+	DataCentre string
+	Region     string
+}
+
+// Spec describes a fleet.
+type Spec struct {
+	VMs []VM
+	// Runners and Workers name the targets; their addresses are filled in.
+	Runners []vmlist.VM
+	Workers []vmlist.VM
+	// ServiceTime is the time of one request at a runner.
+	ServiceTime time.Duration
+	// Config is the first configuration in TOML; empty for none.
+	Config string
+}
+
+// Daemon is one daemon process.
+type Daemon struct {
+	VM VM
+	// IP is the source of all its connections.
+	IP        string
+	Callers   string
+	Operators string
+	// Peers is the advertised address, that of the relay.
+	Peers string
+	// Relay stands before the daemon's peer listener.
+	Relay *relay.Relay
+
+	fleet    *Fleet
+	settings string
+	cmd      *exec.Cmd
+	log      *lockedBuffer
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform *platform.Platform
+	// PlatformRelay stands before the platform.
+	PlatformRelay *relay.Relay
+	Runners       map[string]*runner.Runner
+	RunnerRelays  map[string]*relay.Relay
+	Workers       map[string]*worker.Worker
+	WorkerRelays  map[string]*relay.Relay
+	Daemons       map[string]*Daemon
+
+	t     testing.TB
+	dir   string
+	token string
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const (
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Start starts a fleet and stops it at the end of the test. All daemons are
+// ready when it returns.
+func Start(t testing.TB, spec Spec) *Fleet {
+	t.Helper()
+	f := &Fleet{
+		Platform: &platform.Platform{}, Runners: make(map[string]*runner.Runner), Workers: make(map[string]*worker.Worker),
+		RunnerRelays: make(map[string]*relay.Relay), WorkerRelays: make(map[string]*relay.Relay),
+		Daemons: make(map[string]*Daemon), t: t, dir: t.TempDir(), token: "test-token",
+	}
+	if err := os.WriteFile(filepath.Join(f.dir, "token"), []byte(f.token), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.PlatformRelay = f.serve(func(e *echo.Echo) { f.Platform.Register(e) })
+	vms := f.startTargets(spec)
+	for i, vm := range spec.VMs {
+		d := f.prepare(i, vm)
+		vms = append(vms, vmlist.VM{ID: vm.ID, Role: vmlist.Entry, DataCentre: vm.DataCentre, Region: vm.Region, Address: d.Peers})
+	}
+	f.Platform.SetVMs(vms)
+	for _, vm := range spec.VMs {
+		f.Daemons[vm.ID].Start()
+	}
+	if spec.Config != "" && len(spec.VMs) > 0 {
+		f.Apply(f.Daemons[spec.VMs[0].ID], 0, spec.Config)
+	}
+	for _, vm := range spec.VMs {
+		f.Daemons[vm.ID].WaitReady()
+	}
+	if spec.Config != "" {
+		f.waitConfig(1)
+	}
+	return f
+}
+
+func (f *Fleet) startTargets(spec Spec) []vmlist.VM {
+	var vms []vmlist.VM
+	for _, vm := range spec.Runners {
+		r := &runner.Runner{ID: vm.ID, Slots: vm.Slots, ServiceTime: spec.ServiceTime}
+		f.Runners[vm.ID] = r
+		f.RunnerRelays[vm.ID] = f.serve(func(e *echo.Echo) { r.Register(e) })
+		vm.Role, vm.Address = vmlist.Runner, f.RunnerRelays[vm.ID].Address()
+		vms = append(vms, vm)
+	}
+	for _, vm := range spec.Workers {
+		w := &worker.Worker{ID: vm.ID, Accelerators: vm.Accelerators}
+		f.Workers[vm.ID] = w
+		f.WorkerRelays[vm.ID] = f.serve(func(e *echo.Echo) { w.Register(e) })
+		vm.Role, vm.Address = vmlist.Worker, f.WorkerRelays[vm.ID].Address()
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// serve starts a stand-in behind a relay.
+func (f *Fleet) serve(register func(e *echo.Echo)) *relay.Relay {
+	f.t.Helper()
+	e := jsonhttp.NewEcho(jsonhttp.Limits{MaxBodyBytes: jsonhttp.MaxAnswerBytes}, &f.Platform.Meter)
+	register(e)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { _ = jsonhttp.Serve(e, l) }()
+	r, err := relay.Listen("127.0.0.1:0", l.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		r.Close()
+		_ = e.Server.Close()
+	})
+	return r
+}
+
+func (f *Fleet) freePort(ip string) string {
+	f.t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// prepare writes a daemon's settings and starts its relay.
+func (f *Fleet) prepare(i int, vm VM) *Daemon {
+	f.t.Helper()
+	ip := fmt.Sprintf("127.1.%d.%d", os.Getpid()%250, i+1)
+	d := &Daemon{VM: vm, IP: ip, fleet: f, Callers: f.freePort(ip), Operators: f.freePort(ip)}
+	own := f.freePort(ip)
+	r, err := relay.Listen("127.0.0.1:0", own)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	d.Relay, d.Peers = r, r.Address()
+	d.settings = filepath.Join(f.dir, vm.ID+".toml")
+	s := fmt.Sprintf("vm_id = %q\ndata_centre = %q\nregion = %q\n[listen]\ncallers = %q\noperators = %q\npeers = %q\nadvertise_peers = %q\n[platform]\naddress = %q\n[operators]\ntoken_file = %q\n",
+		vm.ID, vm.DataCentre, vm.Region, d.Callers, d.Operators, own, d.Peers, f.PlatformRelay.Address(), filepath.Join(f.dir, "token"))
+	if err := os.WriteFile(d.settings, []byte(s), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.Daemons[vm.ID] = d
+	return d
+}
+
+// Start starts the daemon's process; it may be called again after the process
+// has ended, as a restart on the same VM.
+func (d *Daemon) Start() {
+	t := d.fleet.t
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.cmd = exec.Command(self, "--settings", d.settings)
+	d.cmd.Env = append(os.Environ(), daemonVariable+"=1")
+	d.log = &lockedBuffer{}
+	d.cmd.Stderr = d.log
+	if err := d.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	cmd, log := d.cmd, d.log
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", d.VM.ID, log)
+		}
+	})
+}
+
+// Signal sends a signal to the daemon's process.
+func (d *Daemon) Signal(s syscall.Signal) {
+	d.fleet.t.Helper()
+	if err := d.cmd.Process.Signal(s); err != nil {
+		d.fleet.t.Fatal(err)
+	}
+}
+
+// Kill ends the process at once.
+func (d *Daemon) Kill() {
+	d.Signal(syscall.SIGKILL)
+	_ = d.cmd.Wait()
+}
+
+// Stop stops the process as planned and returns its exit code.
+func (d *Daemon) Stop() int {
+	d.Signal(syscall.SIGTERM)
+	_ = d.cmd.Wait()
+	return d.cmd.ProcessState.ExitCode()
+}
+
+// Log returns what the process has logged.
+func (d *Daemon) Log() string { return d.log.String() }
+
+// CallerClient returns a client of the daemon's callers' listener.
+func (d *Daemon) CallerClient() *jsonhttp.Client {
+	return &jsonhttp.Client{BaseURL: "http://" + d.Callers}
+}
+
+// OperatorClient returns a client of the daemon's operators' listener.
+func (d *Daemon) OperatorClient() *jsonhttp.Client {
+	return &jsonhttp.Client{BaseURL: "http://" + d.Operators, Token: d.fleet.token}
+}
+
+// WaitReady waits until the daemon takes new work.
+func (d *Daemon) WaitReady() {
+	d.fleet.t.Helper()
+	d.fleet.Until(readyTimeout, d.VM.ID+" is ready", func() bool {
+		return d.CallerClient().Call(context.Background(), http.MethodGet, "/readyz", nil, nil) == nil
+	})
+}
+
+// Until waits until a condition holds and fails the test when it does not in time.
+func (f *Fleet) Until(limit time.Duration, what string, condition func() bool) {
+	f.t.Helper()
+	end := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(end) {
+			f.t.Fatalf("after %v: not so: %s", limit, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// Apply applies a configuration at a daemon, waiting until the daemon answers.
+func (f *Fleet) Apply(d *Daemon, base uint64, toml string) {
+	f.t.Helper()
+	edit := config.Edit{BaseVersion: base, EditID: fmt.Sprintf("edit-%d", base), Author: "test", Reason: "test", TOML: toml}
+	var err error
+	f.Until(readyTimeout, "configuration applied", func() bool {
+		err = d.OperatorClient().Call(context.Background(), http.MethodPost, "/v1/config", edit, nil)
+		return err == nil
+	})
+}
+
+// FleetStatus returns the fleet as a daemon sees it.
+func (d *Daemon) FleetStatus() (operator.Fleet, error) {
+	var fleet operator.Fleet
+	err := d.OperatorClient().Call(context.Background(), http.MethodGet, "/v1/fleet", nil, &fleet)
+	return fleet, err
+}
+
+// waitConfig waits until every daemon sees all VMs with a configuration version.
+func (f *Fleet) waitConfig(version uint64) {
+	f.t.Helper()
+	for _, d := range f.Daemons {
+		f.Until(readyTimeout, d.VM.ID+" sees all VMs", func() bool {
+			fleet, err := d.FleetStatus()
+			if err != nil || len(fleet.VMs) != len(f.Daemons) {
+				return false
+			}
+			for _, vm := range fleet.VMs {
+				if vm.ConfigVersion < version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// Metrics returns the daemon's counters as text.
+func (d *Daemon) Metrics() string {
+	var b []byte
+	_ = d.OperatorClient().Call(context.Background(), http.MethodGet, "/metrics", nil, &b)
+	return string(b)
+}
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,216 @@
+// Package relay is a TCP relay that cuts and freezes connections for tests.
+package relay
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Mode says what a relay does with the connections from one source.
+type Mode int
+
+// The modes of a relay.
+const (
+	// Pass forwards both ways.
+	Pass Mode = iota
+	// Refuse closes connections.
+	Refuse
+	// Silent accepts connections and forwards nothing.
+	Silent
+)
+
+// Relay forwards connections to a target. Sources are told apart by their IP
+// address, so every VM of a test has its own loopback address.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	modes map[netip.Addr]Mode
+	all   Mode
+	links map[*link]struct{}
+}
+
+// link is one relayed connection.
+type link struct {
+	source netip.Addr
+	client net.Conn
+	server net.Conn
+	// gate is held while bytes may pass.
+	gate   sync.Mutex
+	frozen bool
+}
+
+// Listen starts a relay on an address.
+func Listen(address, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: l, target: target, modes: make(map[netip.Addr]Mode), links: make(map[*link]struct{})}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the relay's own address.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close closes the relay and all its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.close()
+	}
+}
+
+// SetAll sets the mode of all sources that have none of their own. Refuse
+// closes open connections, Silent freezes them for good.
+func (r *Relay) SetAll(m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = m
+	for l := range r.links {
+		r.apply(l)
+	}
+}
+
+// Set sets the mode of one source.
+func (r *Relay) Set(source string, m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.modes[netip.MustParseAddr(source)] = m
+	for l := range r.links {
+		r.apply(l)
+	}
+}
+
+// FreezeOpen makes all open connections silent for good; new ones work.
+func (r *Relay) FreezeOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.freeze()
+	}
+}
+
+// Open returns the number of open connections from a source.
+func (r *Relay) Open(source string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for l := range r.links {
+		if l.source.String() == source {
+			n++
+		}
+	}
+	return n
+}
+
+// mode returns the mode of a source. r.mu is held.
+func (r *Relay) mode(source netip.Addr) Mode {
+	m, ok := r.modes[source]
+	if !ok {
+		return r.all
+	}
+	return m
+}
+
+// apply brings a link to its source's mode. r.mu is held.
+func (r *Relay) apply(l *link) {
+	switch r.mode(l.source) {
+	case Refuse:
+		l.close()
+	case Silent:
+		l.freeze()
+	case Pass:
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *Relay) serve(client net.Conn) {
+	source := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	r.mu.Lock()
+	m := r.mode(source)
+	r.mu.Unlock()
+	if m == Refuse {
+		_ = client.Close()
+		return
+	}
+	server, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	l := &link{source: source, client: client, server: server, frozen: m == Silent}
+	r.mu.Lock()
+	r.links[l] = struct{}{}
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.copy(server, client) })
+	wg.Go(func() { l.copy(client, server) })
+	wg.Wait()
+	r.mu.Lock()
+	delete(r.links, l)
+	r.mu.Unlock()
+}
+
+const bufferBytes = 32 << 10
+
+// copy forwards bytes and closes both ends when one ends. What is read from a
+// frozen link is dropped, so that the sender sees nothing but silence.
+func (l *link) copy(to, from net.Conn) {
+	b := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && !l.forward(to, b[:n]) {
+			break
+		}
+		if err != nil {
+			break
+		}
+	}
+	if l.isFrozen() {
+		_, _ = io.Copy(io.Discard, from)
+	}
+	l.close()
+}
+
+func (l *link) forward(to net.Conn, b []byte) bool {
+	l.gate.Lock()
+	defer l.gate.Unlock()
+	if l.frozen {
+		return true
+	}
+	_, err := to.Write(b)
+	return err == nil
+}
+
+func (l *link) isFrozen() bool {
+	l.gate.Lock()
+	defer l.gate.Unlock()
+	return l.frozen
+}
+
+func (l *link) freeze() {
+	l.gate.Lock()
+	defer l.gate.Unlock()
+	l.frozen = true
+}
+
+func (l *link) close() {
+	_ = l.client.Close()
+	_ = l.server.Close()
+}
