Keep heartbeats within the data centre, with one exchange between two planners

Ruled out: a longer interval (a lost planner would be missed too late) and a list of VMs in every heartbeat (it grows with the square of the fleet).

Change: VMs of a data centre call each other; between two data centres the planners exchange one summary a second, and a planner tells its own VMs of the others every fifth round. After a call to another data centre fails, the next VM of it is tried. News that cannot wait starts a round at once.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -144,6 +144,7 @@
 	hb.From = proto.CloneOf(d.self)
 	hb.From.Leaving = d.draining.Load()
 	hb.ConfigVersion = d.keeper.Current().Version
+	hb.From.ConfigVersion = hb.ConfigVersion
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -278,7 +279,7 @@
 	}
 	add(d.self, d.keeper.Current().Version)
 	for _, p := range d.gossip.Live() {
-		add(p.VM, p.State.GetConfigVersion())
+		add(p.VM, p.VM.GetConfigVersion())
 	}
 	return f
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -18,9 +18,12 @@
 const (
 	// Interval is the time between two heartbeats to one peer.
 	Interval = time.Second
-	// SilentAfter is the time without a heartbeat after which a peer is not
-	// counted as live.
+	// SilentAfter is the time without a heartbeat after which a peer of the
+	// same data centre is not counted as live.
 	SilentAfter = 3 * time.Second
+	// RemoteSilentAfter is the same for a peer of another data centre, whose
+	// heartbeats come through two planners.
+	RemoteSilentAfter = 15 * time.Second
 	// ForgetAfter is the time without a heartbeat after which a peer is no
 	// longer called.
 	ForgetAfter = 10 * time.Minute
@@ -37,9 +40,17 @@
 type Peer struct {
 	VM       *peerv1.Vm
 	LastSeen time.Time
-	State    *peerv1.HeartbeatRequest
+	// State is the peer's last heartbeat; nil for a peer that is known through
+	// others only.
+	State *peerv1.HeartbeatRequest
+
+	// heard is false for a bare address that nobody has answered at.
+	heard       bool
+	silentAfter time.Duration
 }
 
+func (p *Peer) live() bool { return p.heard && time.Since(p.LastSeen) <= p.silentAfter }
+
 // Table exchanges heartbeats and keeps the latest of every peer. Its fields are
 // set before Run.
 type Table struct {
@@ -53,17 +64,38 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer // by peer address
+	nudge chan struct{}
+	once  sync.Once
+	// rounds is the number of the current round.
+	rounds uint64
+	// misses counts the failed calls to each other data centre since the last
+	// one that was answered.
+	misses map[string]int
+}
+
+func (t *Table) nudges() chan struct{} {
+	t.once.Do(func() { t.nudge = make(chan struct{}, 1) })
+	return t.nudge
+}
+
+// Nudge starts a round at once, to spread news that cannot wait for the next.
+func (t *Table) Nudge() {
+	select {
+	case t.nudges() <- struct{}{}:
+	default:
+	}
 }
 
 // Run sends heartbeats until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	tick := time.NewTicker(Interval)
 	defer tick.Stop()
-	for {
-		t.round(ctx)
+	for round := uint64(0); ; round++ {
+		t.round(ctx, round)
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.nudges():
 		case <-tick.C:
 		}
 	}
@@ -94,34 +126,25 @@
 	return p
 }
 
-func (t *Table) round(ctx context.Context) {
+func (t *Table) round(ctx context.Context, round uint64) {
 	t.Addresses(t.Seeds)
-	hb := t.Heartbeat()
+	t.mu.Lock()
+	t.rounds = round
+	t.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, address := range t.known() {
-		wg.Go(func() { t.call(ctx, address, hb) })
+	for _, address := range t.receivers(round) {
+		wg.Go(func() { t.call(ctx, address) })
 	}
 	wg.Wait()
 }
 
-func (t *Table) known() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var all []string
-	for a, p := range t.peers {
-		if time.Since(p.LastSeen) > ForgetAfter {
-			delete(t.peers, a)
-			continue
-		}
-		all = append(all, a)
-	}
-	return all
-}
-
-func (t *Table) call(ctx context.Context, address string, hb *peerv1.HeartbeatRequest) {
+func (t *Table) call(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := t.Client(address).Heartbeat(ctx, hb)
+	t.Meter.Inc("heartbeat_sent")
+	to := t.vmAt(address)
+	resp, err := t.Client(address).Heartbeat(ctx, t.Heartbeat(to))
+	t.countMiss(to, err != nil)
 	if err != nil {
 		t.Meter.Inc("heartbeat_lost")
 		return
@@ -129,17 +152,27 @@
 	t.Receive(resp.GetState())
 }
 
+// vmAt returns what is known of the VM at an address.
+func (t *Table) vmAt(address string) *peerv1.Vm {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[address]; ok {
+		return p.VM
+	}
+	return nil
+}
+
 // Client returns a client of the peer at an address.
 func (t *Table) Client(address string) peerv1connect.PeerServiceClient {
 	return peerv1connect.NewPeerServiceClient(t.HTTP, "http://"+address)
 }
 
-// Heartbeat returns this VM's current heartbeat.
-func (t *Table) Heartbeat() *peerv1.HeartbeatRequest {
-	hb := &peerv1.HeartbeatRequest{From: t.Self}
-	for _, p := range t.Live() {
-		hb.Known = append(hb.Known, p.VM)
-	}
+// Heartbeat returns this VM's current heartbeat to a receiver.
+func (t *Table) Heartbeat(to *peerv1.Vm) *peerv1.HeartbeatRequest {
+	t.mu.Lock()
+	round := t.rounds
+	t.mu.Unlock()
+	hb := &peerv1.HeartbeatRequest{From: t.Self, Known: t.known(to, round)}
 	if t.Source != nil {
 		t.Source(hb)
 	}
@@ -157,28 +190,36 @@
 		t.mu.Unlock()
 		return
 	}
-	fresh := p.State == nil || p.VM.GetIncarnation() != hb.GetFrom().GetIncarnation()
-	p.VM, p.State, p.LastSeen = hb.GetFrom(), hb, time.Now()
+	fresh := !p.heard || p.VM.GetIncarnation() != hb.GetFrom().GetIncarnation()
+	p.VM, p.State, p.LastSeen, p.heard = hb.GetFrom(), hb, time.Now(), true
+	p.silentAfter = t.silentAfter(p.VM)
 	for _, vm := range hb.GetKnown() {
-		t.add(vm.GetPeerAddress())
+		t.learn(vm)
 	}
 	t.mu.Unlock()
 	if fresh {
-		t.Log.Info("peer is live", "vm", p.VM.GetVmId(), "data_centre", p.VM.GetDataCentre())
+		t.Log.Info("peer is live", "vm", hb.GetFrom().GetVmId(), "data_centre", hb.GetFrom().GetDataCentre())
 	}
 	if t.Sink != nil {
 		t.Sink(hb)
 	}
 }
 
-// Live returns the peers heard of within SilentAfter, ordered by VM id. This
+func (t *Table) silentAfter(vm *peerv1.Vm) time.Duration {
+	if vm.GetDataCentre() == t.Self.GetDataCentre() {
+		return SilentAfter
+	}
+	return RemoteSilentAfter
+}
+
+// Live returns the peers heard of lately, ordered by VM id. This
 // VM itself is not among them.
 func (t *Table) Live() []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var live []Peer
 	for _, p := range t.peers {
-		if p.State != nil && time.Since(p.LastSeen) <= SilentAfter {
+		if p.live() {
 			live = append(live, *p)
 		}
 	}
--- a/internal/peer/serve/serve.go
+++ b/internal/peer/serve/serve.go
@@ -24,7 +24,7 @@
 // Heartbeat takes a peer's heartbeat and answers with this VM's own.
 func (s *Service) Heartbeat(_ context.Context, hb *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
 	s.Gossip.Receive(hb)
-	return &peerv1.HeartbeatResponse{State: s.Gossip.Heartbeat()}, nil
+	return &peerv1.HeartbeatResponse{State: s.Gossip.Heartbeat(hb.GetFrom())}, nil
 }
 
 // SubmitJob hands a job to the planner at this VM.
