--- /dev/null
+++ b/internal/decide/gang/explain.go
@@ -0,0 +1,48 @@
+package gang
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Explain says why a job stands where it does; found is false for a job that
+// is not known.
+func (s *State) Explain(id string) (x Explanation, found bool) {
+	js, ok := s.jobs[id]
+	if !ok {
+		return Explanation{}, false
+	}
+	x = Explanation{JobID: id, State: "waiting", Reason: js.reason}
+	if js.running {
+		x.State = "running"
+		for _, sl := range js.slots {
+			x.Place = append(x.Place, sl.Worker)
+		}
+		x.Place = slices.Compact(x.Place)
+		return x, true
+	}
+	p := s.placeOf(js)
+	if p == nil {
+		x.Reason += fmt.Sprintf("; no %d x %d accelerators could be freed now", js.Tasks, js.Accelerators)
+		return x, true
+	}
+	for _, n := range distinctNodes(p.nodes) {
+		x.Place = append(x.Place, n.ID)
+	}
+	for _, h := range s.holdersOf(p) {
+		x.Holders = append(x.Holders, h.ID)
+	}
+	if js.claim != nil && !js.claim.firm {
+		x.Reason += fmt.Sprintf("; has a reservation, expected free in %s", js.claim.until.Sub(s.now).Round(1e9))
+	}
+	return x, true
+}
+
+// placeOf returns the place that is kept for a job, or that it could take.
+func (s *State) placeOf(js *jobState) *place {
+	if js.claim != nil {
+		return js.claim.place
+	}
+	p, _ := s.target(js)
+	return p
+}
--- /dev/null
+++ b/internal/decide/gang/measure.go
@@ -0,0 +1,118 @@
+package gang
+
+import (
+	"math/bits"
+	"sort"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/guarantee"
+)
+
+// Measures returns the fleet's measures.
+func (s *State) Measures() Measures {
+	m := Measures{Steps: s.fleet.steps}
+	workers := make([]Free, 0, len(s.fleet.nodes))
+	for _, n := range s.fleet.nodes {
+		if n.gone {
+			continue
+		}
+		m.Accelerators += n.Accelerators
+		if n.health.quarantined {
+			m.Quarantined++
+		}
+		free := n.all() &^ n.held
+		m.Free += bits.OnesCount64(free)
+		workers = append(workers, Free{Rack: n.rack.index, Mask: free})
+	}
+	for _, js := range s.jobs {
+		if js.running {
+			m.Running++
+		} else {
+			m.Waiting++
+		}
+	}
+	m.Fragmentation = Fragmentation(workers, s.configured)
+	return m
+}
+
+// Free is what is free at one worker.
+type Free struct {
+	Rack int
+	Mask uint64
+}
+
+// Fragmentation returns 1 - covered/free for workers in fleet order, and 0
+// when nothing is free. The free accelerators are covered with the guaranteed
+// shapes, the largest first and each as often as it fits: a shape takes
+// neighbouring workers of one rack, or of neighbouring racks when it is larger
+// than a rack, with an aligned run on each.
+func Fragmentation(workers []Free, shapes []Account) float64 {
+	free, width := 0, 0
+	left := make([]uint64, len(workers))
+	perRack := make(map[int]int)
+	for i, w := range workers {
+		left[i] = w.Mask
+		free += bits.OnesCount64(w.Mask)
+		perRack[w.Rack]++
+		width = max(width, perRack[w.Rack])
+	}
+	if free == 0 {
+		return 0
+	}
+	covered := 0
+	for _, sh := range distinctShapes(shapes) {
+		covered += cover(workers, left, sh, sh.Workers > width)
+	}
+	return 1 - float64(covered)/float64(free)
+}
+
+func distinctShapes(accounts []Account) []Account {
+	var all []Account
+	seen := make(map[Account]bool)
+	for _, a := range accounts {
+		a.ID = ""
+		if a.Workers > 0 && a.Accelerators > 0 && !seen[a] {
+			seen[a] = true
+			all = append(all, a)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		x, y := all[i], all[j]
+		if x.Workers*x.Accelerators != y.Workers*y.Accelerators {
+			return x.Workers*x.Accelerators > y.Workers*y.Accelerators
+		}
+		return x.Accelerators > y.Accelerators
+	})
+	return all
+}
+
+// cover takes a shape from left as often as it fits and returns the number of
+// accelerators taken.
+func cover(workers []Free, left []uint64, sh Account, cross bool) int {
+	covered := 0
+	for i := 0; i+sh.Workers <= len(workers); {
+		if next := nextStart(workers, left, sh, i, cross); next > i {
+			i = next
+			continue
+		}
+		for k := i; k < i+sh.Workers; k++ {
+			left[k] &^= guarantee.Run(left[k], sh.Accelerators)
+		}
+		covered += sh.Workers * sh.Accelerators
+	}
+	return covered
+}
+
+// nextStart returns i when the shape fits from worker i on, and else the next
+// worker to try.
+func nextStart(workers []Free, left []uint64, sh Account, i int, cross bool) int {
+	next := i
+	for k := i; k < i+sh.Workers; k++ {
+		if !cross && workers[k].Rack != workers[i].Rack {
+			return max(next, k)
+		}
+		if guarantee.Run(left[k], sh.Accelerators) == 0 {
+			next = k + 1
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/decide/gang/place.go
@@ -0,0 +1,487 @@
+package gang
+
+import (
+	"math/bits"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/guarantee"
+)
+
+// zone says which accelerators a search may use.
+type zone int
+
+const (
+	// ownFree is what is open in the account's own block.
+	ownFree zone = iota
+	// common is what is open outside all blocks.
+	common
+	// anywhere is all that is open.
+	anywhere
+	// guest is what is open on the place reserved for the head.
+	guest
+	// reclaim is ownFree and what borrowers hold in the account's block.
+	reclaim
+	// urgent is what is open or held by work that urgent work may pre-empt.
+	urgent
+	// later is all that becomes free when the present jobs end.
+	later
+)
+
+// view is the fleet as one job may use it.
+type view struct {
+	s    *State
+	js   *jobState
+	zone zone
+	// spareOwn leaves the account's own block to an earlier job.
+	spareOwn bool
+}
+
+// mask returns the accelerators of a node that the job may use.
+func (v view) mask(n *node) uint64 {
+	v.s.fleet.steps++
+	if v.js.failedOn[n.ID] {
+		return 0
+	}
+	switch v.zone {
+	case ownFree:
+		return v.open(n) & n.owned(v.js.account)
+	case common:
+		return v.open(n) & n.owned(nil)
+	case anywhere:
+		m := v.open(n)
+		if v.spareOwn {
+			m &^= n.owned(v.js.account)
+		}
+		return m
+	}
+	return v.pick(n)
+}
+
+// open returns what is neither held nor claimed by another job.
+func (v view) open(n *node) uint64 {
+	m := n.open()
+	if v.s.off.heldOnce {
+		m = n.all()
+	}
+	if v.js.claim != nil {
+		m |= v.claimed(n, v.js) &^ n.held & n.all()
+	}
+	return m
+}
+
+func (v view) claimed(n *node, js *jobState) uint64 {
+	m := uint64(0)
+	for i, c := range n.claims {
+		if c == js {
+			m |= 1 << i
+		}
+	}
+	return m
+}
+
+// pick chooses accelerators one by one.
+func (v view) pick(n *node) uint64 {
+	m := n.all()
+	for i := range n.holders {
+		if !v.usable(n, i) {
+			m &^= 1 << i
+		}
+	}
+	return m
+}
+
+func (v view) usable(n *node, i int) bool {
+	h, c, owner := n.holders[i], n.claims[i], n.owners[i]
+	if !v.js.Idempotent && owner != v.js.account && owner != nil && !v.s.off.preemptibleOnly {
+		return false
+	}
+	switch v.zone {
+	case guest:
+		return h == nil && c == v.s.head
+	case reclaim:
+		return owner == v.js.account && v.reclaims(h, c)
+	case urgent:
+		return v.overrides(c, owner) && (h == nil || v.mayPreempt(h, owner))
+	}
+	return c == nil || c == v.js
+}
+
+// reclaims reports whether an accelerator of the account's own block can be
+// had: no job of the account holds it or was promised it.
+func (v view) reclaims(h, c *jobState) bool {
+	if h != nil && (!h.Idempotent || h.account == v.js.account) {
+		return false
+	}
+	return c == nil || c == v.js || c.account != v.js.account || !c.claim.firm
+}
+
+// overrides reports whether urgent work may take a place that c waits for.
+func (v view) overrides(c *jobState, owner *account) bool {
+	return c == nil || c == v.js || c.Rank > v.js.Rank && (c.account != owner || c.account == v.js.account)
+}
+
+// mayPreempt reports whether urgent work may pre-empt h: a borrower, or later
+// work of its own account.
+func (v view) mayPreempt(h *jobState, owner *account) bool {
+	return h.Idempotent && h.Rank > v.js.Rank && (h.account != owner || h.account == v.js.account)
+}
+
+// count returns the number of aligned runs of n accelerators in a mask, at
+// most limit.
+func count(open uint64, n, limit int) int {
+	k := 0
+	for ; k < limit; k++ {
+		m := guarantee.Run(open, n)
+		if m == 0 {
+			break
+		}
+		open &^= m
+	}
+	return k
+}
+
+// place is a set of runs for the tasks of a gang.
+type place struct {
+	nodes []*node
+	masks []uint64
+}
+
+func (p *place) add(n *node, m uint64) {
+	p.nodes = append(p.nodes, n)
+	p.masks = append(p.masks, m)
+}
+
+func (p *place) slots() []Slot {
+	slots := make([]Slot, len(p.nodes))
+	for i, n := range p.nodes {
+		slots[i] = Slot{Task: i, Worker: n.ID, Accelerators: indices(p.masks[i])}
+	}
+	return slots
+}
+
+func indices(m uint64) []int {
+	all := make([]int, 0, bits.OnesCount64(m))
+	for ; m != 0; m &= m - 1 {
+		all = append(all, bits.TrailingZeros64(m))
+	}
+	return all
+}
+
+// spread collects runs over nodes, in their order, for a gang that needs no
+// neighbours; nil when there are too few.
+func (v view) spread(next func() *node) *place {
+	p := &place{}
+	for n := next(); n != nil; n = next() {
+		v.collect(p, n, v.js.Tasks)
+		if len(p.nodes) == v.js.Tasks || v.s.off.wholeGang && len(p.nodes) > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// collect adds runs of a node until there are tasks of them, those that nobody
+// holds first, and reports whether there was one.
+func (v view) collect(p *place, n *node, tasks int) bool {
+	before, m := len(p.nodes), v.mask(n)
+	for _, open := range []uint64{m &^ n.held, m} {
+		for len(p.nodes) < tasks {
+			run := guarantee.Run(open&m, v.js.Accelerators)
+			if run == 0 {
+				break
+			}
+			m &^= run
+			p.add(n, run)
+		}
+	}
+	return len(p.nodes) > before
+}
+
+// window collects runs from a node on, over neighbouring workers without a
+// gap. It leaves the rack only when cross is set. Without a place, gap is the
+// position after the one that has no room.
+func (v view) window(first int, cross bool) (p *place, gap int) {
+	p = &place{}
+	nodes := v.s.fleet.nodes
+	for i := first; i < len(nodes); i++ {
+		if nodes[i].rack != nodes[first].rack && !cross {
+			return nil, i
+		}
+		if !v.collect(p, nodes[i], v.js.Tasks) {
+			return nil, i + 1
+		}
+		if len(p.nodes) == v.js.Tasks {
+			return p, i + 1
+		}
+	}
+	return nil, len(nodes)
+}
+
+// span returns the number of workers that an adjacent gang fills when they are
+// wholly free, and whether no rack is that long.
+func (s *State) span(js *jobState) (nodes int, cross bool) {
+	widest := 0
+	for _, r := range s.fleet.racks[:min(len(s.fleet.racks), 1)] {
+		widest = s.fleet.nodes[r.first].Accelerators
+	}
+	per := max(1, widest/guarantee.Align(js.Accelerators))
+	nodes = (js.Tasks + per - 1) / per
+	return nodes, nodes > s.fleet.width
+}
+
+// find returns a place among the open accelerators: the smallest sufficient
+// aligned block, in the racks that are broken most.
+func (v view) find() *place {
+	need := v.js.Tasks * v.js.Accelerators
+	if v.js.claim != nil {
+		need = 0
+	}
+	if v.s.fleet.opened < need {
+		return nil
+	}
+	if v.js.shape().adjacent {
+		return v.findAdjacent()
+	}
+	return v.spread(v.s.fleet.bestFit(orderOf(v.js.Accelerators), v.js.Accelerators))
+}
+
+// bestFit returns the nodes with an open block of at least an order, the
+// smallest first; among wholly free nodes those in the shortest free runs.
+func (f *fleet) bestFit(order, accelerators int) func() *node {
+	o, at := order, len(f.nodes)-1
+	whole := f.wholes()
+	return func() *node {
+		for ; o <= maxOrder; o, at = o+1, len(f.nodes)-1 {
+			f.steps++
+			for at = f.byOrder[o].last(at); at >= 0; at = f.byOrder[o].last(at) {
+				n := f.nodes[at]
+				at--
+				if !n.whole() {
+					return n
+				}
+			}
+		}
+		for n := whole(); n != nil; n = whole() {
+			if n.Accelerators >= accelerators {
+				return n
+			}
+		}
+		return nil
+	}
+}
+
+// wholes returns the wholly free nodes, those of the shortest free runs first.
+func (f *fleet) wholes() func() *node {
+	run, at, pos := 1, len(f.racks)-1, -1
+	var r *rack
+	return func() *node {
+		for ; run < len(f.byRun); run, at = run+1, len(f.racks)-1 {
+			for {
+				if r == nil {
+					f.steps++
+					if at = f.byRun[run].last(at); at < 0 {
+						break
+					}
+					r = f.racks[at]
+					at--
+					pos = r.last
+				}
+				for pos--; pos >= r.first; pos-- {
+					if f.nodes[pos].whole() {
+						return f.nodes[pos]
+					}
+				}
+				r = nil
+			}
+		}
+		return nil
+	}
+}
+
+// findAdjacent returns neighbouring workers: wholly free ones in the racks
+// with the shortest sufficient run, aligned when possible, and else any run.
+func (v view) findAdjacent() *place {
+	nodes, cross := v.s.span(v.js)
+	if cross {
+		return v.findAcross()
+	}
+	f := &v.s.fleet
+	if v.js.Accelerators*2 <= f.widest() {
+		if p := v.findBroken(); p != nil {
+			return p
+		}
+	}
+	for run := nodes; run < len(f.byRun); run++ {
+		for at := f.byRun[run].last(len(f.racks) - 1); at >= 0; at = f.byRun[run].last(at - 1) {
+			if p := v.inRack(f.racks[at], nodes); p != nil {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// widest returns the size of the workers, taken from the first.
+func (f *fleet) widest() int {
+	if len(f.nodes) == 0 {
+		return 0
+	}
+	return f.nodes[0].Accelerators
+}
+
+// inRack tries the aligned starts of a rack and then the others.
+func (v view) inRack(r *rack, nodes int) *place {
+	v.s.fleet.steps++
+	step := guarantee.Align(nodes)
+	for _, aligned := range []bool{true, false} {
+		for i := r.first; i+nodes <= r.last; i++ {
+			if ((i-r.first)%step == 0) != aligned {
+				continue
+			}
+			if p, _ := v.window(i, false); p != nil {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// findBroken places an adjacent gang of small tasks on workers that are in use
+// already.
+func (v view) findBroken() *place {
+	f := &v.s.fleet
+	for o := orderOf(v.js.Accelerators); o <= maxOrder; o++ {
+		for at := f.byOrder[o].last(len(f.nodes) - 1); at >= 0; at = f.byOrder[o].last(at - 1) {
+			if f.nodes[at].whole() {
+				continue
+			}
+			if p, _ := v.window(at, false); p != nil {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// findAcross places a gang that is longer than a rack, from the first worker
+// of a rack on when that is possible.
+func (v view) findAcross() *place {
+	nodes := v.s.fleet.nodes
+	for i := 0; i < len(nodes); {
+		p, gap := v.window(i, true)
+		if p != nil {
+			return p
+		}
+		for i = gap; i < len(nodes) && i != nodes[i].rack.first; {
+			i = nodes[i].rack.last
+		}
+	}
+	for i := 0; i < len(nodes); {
+		p, gap := v.window(i, true)
+		if p != nil {
+			return p
+		}
+		i = gap
+	}
+	return nil
+}
+
+// findOwn returns the cheapest place in the account's own block.
+func (v view) findOwn() *place {
+	var nodes []*node
+	for _, p := range v.js.account.pieces {
+		n := v.s.fleet.nodes[p.Worker]
+		if len(nodes) == 0 || nodes[len(nodes)-1] != n {
+			nodes = append(nodes, n)
+		}
+	}
+	return v.cheapest(nodes)
+}
+
+// cheapest returns the place among nodes, which stand in fleet order, that
+// pre-empts the least.
+func (v view) cheapest(nodes []*node) *place {
+	if !v.js.shape().adjacent {
+		return v.spread(v.byCost(nodes))
+	}
+	var best *place
+	cost := 0
+	_, cross := v.s.span(v.js)
+	for _, n := range nodes {
+		p, _ := v.window(n.pos, cross)
+		if p == nil {
+			continue
+		}
+		if c := v.s.cost(p); best == nil || c < cost {
+			best, cost = p, c
+		}
+	}
+	return best
+}
+
+// byCost returns the nodes in the order of what a task would pre-empt there;
+// among equals, those with the smallest sufficient open block.
+func (v view) byCost(nodes []*node) func() *node {
+	type priced struct {
+		n           *node
+		cost, order int
+	}
+	var all []priced
+	for _, n := range nodes {
+		m := v.mask(n)
+		if guarantee.Run(m, v.js.Accelerators) == 0 {
+			continue
+		}
+		// Open accelerators first; the mask is searched again by spread.
+		c := 0
+		if guarantee.Run(m&^n.held, v.js.Accelerators) == 0 {
+			c = 1 + bits.OnesCount64(m&n.held)
+		}
+		all = append(all, priced{n, c, n.order})
+	}
+	i := 0
+	return func() *node {
+		if i >= len(all) {
+			return nil
+		}
+		for k := i + 1; k < len(all); k++ {
+			if all[k].cost < all[i].cost || all[k].cost == all[i].cost && all[k].order < all[i].order {
+				all[i], all[k] = all[k], all[i]
+			}
+		}
+		i++
+		return all[i-1].n
+	}
+}
+
+// cost returns the accelerators of the gangs that a place pre-empts.
+func (s *State) cost(p *place) int {
+	sum := 0
+	for _, h := range s.holdersOf(p) {
+		sum += h.Tasks * h.Accelerators
+	}
+	return sum
+}
+
+// holdersOf returns the jobs that hold accelerators of a place.
+func (s *State) holdersOf(p *place) []*jobState {
+	var all []*jobState
+	for i, n := range p.nodes {
+		for m := p.masks[i] & n.held; m != 0; m &= m - 1 {
+			all = append(all, n.holders[bits.TrailingZeros64(m)])
+		}
+	}
+	return distinct(all)
+}
+
+// distinct returns the jobs without nil and repetition, in their order.
+func distinct(jobs []*jobState) []*jobState {
+	var all []*jobState
+	seen := make(map[*jobState]bool)
+	for _, js := range jobs {
+		if js != nil && !seen[js] {
+			seen[js] = true
+			all = append(all, js)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/decide/gang/property_test.go
@@ -0,0 +1,248 @@
+package gang
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+// seed and checks pin the random schedules.
+const (
+	seed   = "5051"
+	checks = "400"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	testRound = 100 * time.Millisecond
+	testGrace = 500 * time.Millisecond
+)
+
+// schedule drives a state as the planner would, with a model of what runs.
+type schedule struct {
+	t       *rapid.T
+	s       State
+	now     time.Time
+	running map[string]Order
+	// stops holds when a pre-empted job is stopped.
+	stops map[string]time.Time
+	// entitled holds since when a job waits that its account's block could
+	// hold by pre-emption.
+	entitled map[string]time.Time
+	ids      int
+	failure  error
+}
+
+func newSchedule(t *rapid.T, off guards) *schedule {
+	c := &schedule{t: t, now: time.Unix(0, 0), running: make(map[string]Order), stops: make(map[string]time.Time), entitled: make(map[string]time.Time)}
+	c.s.off = off
+	for i := range 16 {
+		c.s.SetWorker(testWorker(i))
+	}
+	c.configure()
+	return c
+}
+
+func testWorker(i int) Worker {
+	return Worker{ID: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("r%d", i/4), Accelerators: 8}
+}
+
+func (c *schedule) draw(limit int) int { return rapid.IntRange(0, limit-1).Draw(c.t, "n") }
+
+func (c *schedule) configure() {
+	c.s.SetWeights(Weights{CompletionTime: float64(c.draw(3)), Fragmentation: 1})
+	c.s.SetAccounts([]Account{
+		{ID: "a", Workers: 1 + c.draw(6), Accelerators: 8},
+		{ID: "b", Workers: c.draw(5), Accelerators: 4 + 2*c.draw(3)},
+		{ID: "c", Workers: c.draw(6), Accelerators: 3},
+	})
+}
+
+func (c *schedule) submit() {
+	c.ids++
+	j := Job{
+		ID: fmt.Sprintf("j%04d", c.ids), Account: string(rune('a' + c.draw(4))), Rank: c.draw(3),
+		Tasks: 1 << c.draw(4), Accelerators: 1 + c.draw(8), Adjacent: c.draw(2) == 0, Idempotent: c.draw(3) > 0,
+		Declared: time.Duration(1+c.draw(60)) * time.Second, Submitted: c.now,
+	}
+	if err := c.s.Submit(j); err != nil && !fault.Is(err, fault.NeverFits) {
+		c.failure = err
+	}
+}
+
+func (c *schedule) pickRunning() (string, bool) {
+	ids := sortedIDs(c.running)
+	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[c.draw(len(ids))], true
+}
+
+func (c *schedule) gone(id string) {
+	delete(c.running, id)
+	delete(c.stops, id)
+	delete(c.entitled, id)
+}
+
+func (c *schedule) end() {
+	if id, ok := c.pickRunning(); ok {
+		c.s.Ended(id, c.now)
+		c.gone(id)
+	}
+}
+
+func (c *schedule) cancel() {
+	ids := sortedIDs(c.s.jobs)
+	if len(ids) > 0 {
+		id := ids[c.draw(len(ids))]
+		c.s.Cancelled(id, c.now)
+		c.gone(id)
+	}
+}
+
+func (c *schedule) requeue(id, reason string) {
+	c.s.Requeue(id, c.s.jobs[id].Declared*9/10, c.now, reason)
+	c.gone(id)
+}
+
+func (c *schedule) failStart() {
+	if id, ok := c.pickRunning(); ok {
+		c.s.StartFailed(id, c.running[id].Slots[0].Worker, c.now)
+		c.requeue(id, "a start failed")
+	}
+}
+
+// capacity opens, closes or removes a worker; the gangs that lose a member are
+// put back.
+func (c *schedule) capacity() {
+	w := testWorker(c.draw(16))
+	switch c.draw(3) {
+	case 0:
+		c.s.SetWorker(w)
+		return
+	case 1:
+		w.Closed = true
+		c.s.SetWorker(w)
+	case 2:
+		c.s.RemoveWorker(w.ID)
+	}
+	for _, id := range sortedIDs(c.running) {
+		for _, sl := range c.running[id].Slots {
+			if sl.Worker == w.ID {
+				c.requeue(id, "lost a member")
+				break
+			}
+		}
+	}
+}
+
+// plan runs one round, checks it and carries it out.
+func (c *schedule) plan() error {
+	c.now = c.now.Add(testRound)
+	for _, id := range sortedIDs(c.stops) {
+		if !c.now.Before(c.stops[id]) {
+			c.requeue(id, "pre-empted")
+		}
+	}
+	for _, o := range c.s.Plan(c.now) {
+		switch o.Kind {
+		case Start:
+			if err := checkStart(&c.s, o); err != nil {
+				return err
+			}
+			if _, ok := c.running[o.JobID]; ok {
+				return fmt.Errorf("%s is started twice", o.JobID)
+			}
+			c.running[o.JobID] = o
+		case Preempt:
+			if _, ok := c.running[o.JobID]; !ok || !c.s.jobs[o.JobID].Idempotent {
+				return fmt.Errorf("%s cannot be pre-empted", o.JobID)
+			}
+			c.stops[o.JobID] = c.now.Add(testGrace)
+		case Fail:
+			c.s.Cancelled(o.JobID, c.now)
+		}
+	}
+	if err := check(&c.s, c.running); err != nil {
+		return err
+	}
+	return c.reclaimed()
+}
+
+// reclaimed returns an error when a job within its account's guarantee neither
+// runs nor has its place claimed after a round: then no holder would be told
+// to stop.
+func (c *schedule) reclaimed() error {
+	for _, id := range sortedIDs(c.s.jobs) {
+		js := c.s.jobs[id]
+		if js.queue == nil || js.queue.waiting[0] != js || c.s.yields(js) {
+			continue
+		}
+		if p := (view{s: &c.s, js: js, zone: reclaim}).findOwn(); p != nil {
+			return fmt.Errorf("%s waits although %s could take back its place: %+v waits %v", id, js.Account, js, js.account.waits)
+		}
+	}
+	return nil
+}
+
+// run draws a schedule and returns the first broken invariant.
+func run(t *rapid.T, off guards) error {
+	c := newSchedule(t, off)
+	acts := []func(){c.submit, c.submit, c.submit, c.submit, c.end, c.end, c.cancel, c.failStart, c.capacity, c.configure, func() {}}
+	for range rapid.IntRange(10, 80).Draw(t, "steps") {
+		for range 1 + c.draw(4) {
+			acts[c.draw(len(acts))]()
+		}
+		if c.failure != nil {
+			return c.failure
+		}
+		if err := c.plan(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := run(t, guards{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestGuardsAreNeeded turns off each guard and expects a broken invariant.
+func TestGuardsAreNeeded(t *testing.T) {
+	for name, off := range map[string]guards{
+		"whole gang": {wholeGang: true}, "held once": {heldOnce: true}, "only what can be pre-empted borrows": {preemptibleOnly: true},
+		"reclaim": {reclaim: true}, "re-carve": {recarve: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken := 0
+			rapid.Check(t, func(t *rapid.T) {
+				if err := run(t, off); err != nil {
+					broken++
+				}
+			})
+			if broken == 0 {
+				t.Fatal("no schedule fails without the guard")
+			}
+			t.Logf("%d of %s schedules fail without the guard", broken, checks)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/gang/queue.go
@@ -0,0 +1,267 @@
+package gang
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Waiting jobs stand in queues: one for each account, class, kind and shape.
+// The queues of a shape form a group, a heap by the priority of their first
+// jobs, so that a shape without room costs one look at the group.
+
+const (
+	// rankStep is the wait after which a job overtakes new ones of the next
+	// better class.
+	rankStep = 4 * time.Hour
+	// shareStep is the wait that makes up for one whole guarantee in use.
+	shareStep = time.Hour
+	// maxShare bounds the share that counts.
+	maxShare = 2.0
+	// runTimeFactor is the wait that makes up for one unit of expected run
+	// time when completion time alone is weighed.
+	runTimeFactor = 4.0
+	// urgentLead puts urgent jobs before all others, in seconds.
+	urgentLead = 1e12
+)
+
+// shape is what decides where a job fits.
+type shape struct {
+	tasks, accelerators  int
+	adjacent, idempotent bool
+}
+
+// group holds the queues of one shape.
+type group struct {
+	shape  shape
+	queues []*queue
+	state  *State
+}
+
+// queue holds waiting jobs of one account, class, kind and shape, ordered by
+// key.
+type queue struct {
+	account *account
+	group   *group
+	rank    int
+	kind    string
+	// index is the place in the group's heap, -1 while it is empty or aside.
+	index   int
+	waiting []*jobState
+	keys    []float64
+	// fresh says that the queue stands in State.fresh.
+	fresh bool
+	// aside says that the round has tried the queue and keeps it out of the
+	// heap.
+	aside bool
+}
+
+// Len is part of heap.Interface.
+func (g *group) Len() int { return len(g.queues) }
+
+// Less is part of heap.Interface.
+func (g *group) Less(i, j int) bool { return g.state.before(g.queues[i], g.queues[j]) }
+
+// Swap is part of heap.Interface.
+func (g *group) Swap(i, j int) {
+	g.queues[i], g.queues[j] = g.queues[j], g.queues[i]
+	g.queues[i].index, g.queues[j].index = i, j
+}
+
+// Push is part of heap.Interface.
+func (g *group) Push(x any) {
+	q := x.(*queue)
+	q.index = len(g.queues)
+	g.queues = append(g.queues, q)
+}
+
+// Pop is part of heap.Interface.
+func (g *group) Pop() any {
+	q := g.queues[len(g.queues)-1]
+	g.queues = g.queues[:len(g.queues)-1]
+	q.index = -1
+	return q
+}
+
+// before reports whether a's first job goes before b's.
+func (s *State) before(a, b *queue) bool {
+	pa, pb := s.priority(a), s.priority(b)
+	if pa != pb {
+		return pa < pb
+	}
+	return a.waiting[0].ID < b.waiting[0].ID
+}
+
+// priority orders first jobs, the least first: by class, account share and
+// age. Age is in the key as the time of submission, so that a job of a later
+// class overtakes new ones after rankStep for each class.
+func (s *State) priority(q *queue) float64 {
+	return q.keys[0] + q.account.share()*shareStep.Seconds()
+}
+
+// share is the part of the guarantee in use, at most maxShare.
+func (a *account) share() float64 {
+	return min(float64(a.held)/float64(max(a.Workers*a.Accelerators, 1)), maxShare)
+}
+
+func (s *State) key(js *jobState) float64 {
+	key := float64(js.Submitted.UnixMilli())/1000 + float64(js.Rank)*rankStep.Seconds()
+	if js.Rank == 0 {
+		return key - urgentLead
+	}
+	return key + runTimeFactor*s.completionShare()*s.expected(js).Seconds()
+}
+
+// completionShare is the part of the weights that is for completion time.
+func (s *State) completionShare() float64 {
+	sum := s.weights.CompletionTime + s.weights.Fragmentation
+	if sum <= 0 {
+		return 0.5
+	}
+	return s.weights.CompletionTime / sum
+}
+
+func (s *State) queueOf(js *jobState) *queue {
+	for _, q := range js.account.queues {
+		if q.rank == js.Rank && q.kind == js.Kind && q.group.shape == js.shape() {
+			return q
+		}
+	}
+	q := &queue{account: js.account, group: s.groupOf(js.shape()), rank: js.Rank, kind: js.Kind, index: -1}
+	js.account.queues = append(js.account.queues, q)
+	return q
+}
+
+func (js *jobState) shape() shape {
+	return shape{tasks: js.Tasks, accelerators: js.Accelerators, adjacent: js.Adjacent && js.Tasks > 1, idempotent: js.Idempotent}
+}
+
+func (s *State) groupOf(sh shape) *group {
+	g, ok := s.groups[sh]
+	if ok {
+		return g
+	}
+	if s.groups == nil {
+		s.groups = make(map[shape]*group)
+	}
+	g = &group{shape: sh, state: s}
+	s.groups[sh] = g
+	s.order = append(s.order, g)
+	return g
+}
+
+// enqueue puts a job among the waiting ones.
+func (s *State) enqueue(js *jobState) {
+	q := s.queueOf(js)
+	key := s.key(js)
+	i := q.search(key, js.ID)
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[i+1:], q.waiting[i:])
+	q.waiting[i] = js
+	q.keys = append(q.keys, 0)
+	copy(q.keys[i+1:], q.keys[i:])
+	q.keys[i] = key
+	js.queue, js.key = q, key
+	s.fix(q)
+	if i == 0 {
+		s.freshen(q)
+	}
+}
+
+func (q *queue) search(key float64, id string) int {
+	return sort.Search(len(q.waiting), func(i int) bool {
+		return q.keys[i] > key || q.keys[i] == key && q.waiting[i].ID >= id
+	})
+}
+
+// leave takes a job out of its queue.
+func (s *State) leave(js *jobState) {
+	q := js.queue
+	if q == nil {
+		return
+	}
+	i := q.search(js.key, js.ID)
+	js.queue = nil
+	if i == 0 {
+		q.waiting[0] = nil
+		q.waiting, q.keys = q.waiting[1:], q.keys[1:]
+		s.freshen(q)
+	} else {
+		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+		q.keys = append(q.keys[:i], q.keys[i+1:]...)
+	}
+	s.fix(q)
+	if s.head == js {
+		s.head = nil
+		s.dropClaim(js)
+	}
+	if js.account.waits == js {
+		js.account.waits = nil
+		s.freshenAll(js.account)
+	}
+}
+
+// fix puts a queue in its place in the group's heap.
+func (s *State) fix(q *queue) {
+	s.fleet.steps++
+	switch {
+	case len(q.waiting) == 0 && q.index >= 0:
+		// A queue without jobs has no priority: it leaves by swap.
+		s.drop(q)
+	case q.aside:
+	case len(q.waiting) > 0 && q.index < 0:
+		heap.Push(q.group, q)
+	case len(q.waiting) > 0:
+		heap.Fix(q.group, q.index)
+	}
+}
+
+// drop takes an empty queue out of the heap.
+func (s *State) drop(q *queue) {
+	g, i := q.group, q.index
+	last := len(g.queues) - 1
+	g.Swap(i, last)
+	g.queues = g.queues[:last]
+	q.index = -1
+	if i < last {
+		heap.Fix(g, i)
+	}
+}
+
+// freshen has the queue looked at in the next round, or again in this one.
+func (s *State) freshen(q *queue) {
+	if q.fresh || len(q.waiting) == 0 {
+		return
+	}
+	q.fresh = true
+	s.fresh = append(s.fresh, q)
+	if q.aside {
+		q.aside = false
+		s.fix(q)
+	}
+}
+
+func (s *State) freshenAll(a *account) {
+	for _, q := range a.queues {
+		s.freshen(q)
+	}
+}
+
+// shareChanged puts the queues of an account in their new places.
+func (s *State) shareChanged(a *account) {
+	for _, q := range a.queues {
+		if len(q.waiting) > 0 {
+			s.fix(q)
+		}
+	}
+}
+
+// reorder orders all queues again after a change of weights or guarantees.
+func (s *State) reorder() {
+	for _, g := range s.order {
+		heap.Init(g)
+		for _, q := range g.queues {
+			s.freshen(q)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/gang/reserve.go
@@ -0,0 +1,230 @@
+package gang
+
+import (
+	"sort"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/guarantee"
+)
+
+const (
+	// targetSample bounds the places that a reservation is chosen from.
+	targetSample = 24
+	// compactionShare is the part of a reserved place that may be cleared by
+	// moving small borrowers when fragmentation alone is weighed.
+	compactionShare = 0.5
+	// compactionGain is the least expected wait that is worth a compaction.
+	compactionGain = 5 * time.Minute
+)
+
+// reserve keeps a place for the first waiting job, and clears it.
+func (r *round) reserve() {
+	for _, js := range r.firsts() {
+		if h := r.head; h != nil && h != js {
+			r.dropClaim(h)
+		}
+		if js.claim != nil || r.retarget(js) {
+			r.tend(js)
+			return
+		}
+	}
+}
+
+// firsts returns the first waiting job of each shape, in their order.
+func (s *State) firsts() []*jobState {
+	var all []*queue
+	for _, g := range s.order {
+		if len(g.queues) > 0 {
+			all = append(all, g.queues[0])
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return s.before(all[i], all[j]) })
+	jobs := make([]*jobState, len(all))
+	for i, q := range all {
+		jobs[i] = q.waiting[0]
+	}
+	return jobs
+}
+
+// retarget reserves the place that is expected to be free first.
+func (s *State) retarget(js *jobState) bool {
+	p, until := s.target(js)
+	if p == nil {
+		return false
+	}
+	s.dropClaim(js)
+	s.claimPlace(js, p, false, until)
+	s.head = js
+	return true
+}
+
+// tend looks at the head's place when it has changed: it stops guests that
+// stay too long, chooses another place when the expectation was wrong, and
+// moves small borrowers that are left.
+func (r *round) tend(js *jobState) {
+	late := !r.now.Before(js.claim.until)
+	if js.claim.seen == js.claim.pending && !late {
+		return
+	}
+	if late {
+		r.preempt(js, r.guests(js))
+		if len(r.others(js)) > 0 && !r.retarget(js) {
+			return
+		}
+	}
+	js.claim.seen = js.claim.pending
+	r.compact(js)
+}
+
+func (s *State) guests(js *jobState) []*jobState {
+	var all []*jobState
+	for _, h := range s.holdersOf(js.claim.place) {
+		if h.guest == js {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+func (s *State) others(js *jobState) []*jobState {
+	var all []*jobState
+	for _, h := range s.holdersOf(js.claim.place) {
+		if h.guest != js {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// compact pre-empts the holders of the head's place when they are few, small
+// and can be put back, so that they run again elsewhere.
+func (r *round) compact(js *jobState) {
+	if js.claim.pending == 0 || js.claim.until.Sub(r.now) < compactionGain {
+		return
+	}
+	victims := r.holdersOf(js.claim.place)
+	sum := 0
+	for _, v := range victims {
+		if !r.movable(v, js) {
+			return
+		}
+		sum += v.Tasks * v.Accelerators
+	}
+	limit := compactionShare * (1 - r.completionShare()) * float64(js.Tasks*js.Accelerators)
+	if float64(sum) > limit {
+		return
+	}
+	r.take(js, js.claim.place, "has its place cleared of small borrowers")
+}
+
+// movable reports whether a holder may be pre-empted for js.
+func (s *State) movable(v, js *jobState) bool {
+	return v.Idempotent && v.Rank > 0 && v.Rank >= js.Rank && s.borrows(v)
+}
+
+// target returns the place that is expected to be free first, among a bounded
+// sample, and when that is.
+func (s *State) target(js *jobState) (*place, time.Time) {
+	v := view{s: s, js: js, zone: later}
+	if !js.shape().adjacent {
+		return v.targetSpread()
+	}
+	var best *place
+	var until time.Time
+	nodes, cross := s.span(js)
+	for _, start := range s.starts(nodes, cross) {
+		p, _ := v.window(start, cross)
+		if p == nil {
+			continue
+		}
+		if t := s.clear(p); best == nil || t.Before(until) {
+			best, until = p, t
+		}
+	}
+	return best, until
+}
+
+// starts returns positions where an adjacent gang of a number of workers could
+// begin: aligned ones in the racks with the longest free runs.
+func (s *State) starts(nodes int, cross bool) []int {
+	f := &s.fleet
+	var all []int
+	if cross {
+		step := 1 + len(f.racks)/targetSample
+		for i := 0; i < len(f.racks); i += step {
+			all = append(all, f.racks[i].first)
+		}
+		return all
+	}
+	racks := 0
+	for run := len(f.byRun) - 1; run >= 0; run-- {
+		for at := f.byRun[run].last(len(f.racks) - 1); at >= 0 && racks < targetSample; at = f.byRun[run].last(at - 1) {
+			r := f.racks[at]
+			racks++
+			for i := r.first; i+nodes <= r.last; i += guarantee.Align(nodes) {
+				all = append(all, i)
+			}
+		}
+	}
+	return all
+}
+
+// clear returns when all holders of a place are expected to have ended.
+func (s *State) clear(p *place) time.Time {
+	t := s.now
+	for _, h := range s.holdersOf(p) {
+		if end := s.end(h); end.After(t) {
+			t = end
+		}
+	}
+	return t
+}
+
+// targetSpread chooses the workers that are expected to be free first.
+func (v view) targetSpread() (*place, time.Time) {
+	type timed struct {
+		n *node
+		t time.Time
+	}
+	var all []timed
+	f := &v.s.fleet
+	for o := maxOrder; o >= -1 && len(all) < v.js.Tasks+targetSample; o-- {
+		for _, n := range f.sample(o, v.js.Tasks+targetSample-len(all)) {
+			p := &place{}
+			if v.collect(p, n, 1) {
+				all = append(all, timed{n, v.s.clear(p)})
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].t.Before(all[j].t) })
+	i := 0
+	p := v.spread(func() *node {
+		if i == len(all) {
+			return nil
+		}
+		i++
+		return all[i-1].n
+	})
+	if p == nil {
+		return nil, time.Time{}
+	}
+	return p, v.s.clear(p)
+}
+
+// sample returns up to limit nodes whose largest open block has an order; -1
+// is for nodes without one.
+func (f *fleet) sample(order, limit int) []*node {
+	var all []*node
+	if order >= 0 {
+		for at := f.byOrder[order].last(len(f.nodes) - 1); at >= 0 && len(all) < limit; at = f.byOrder[order].last(at - 1) {
+			all = append(all, f.nodes[at])
+		}
+		return all
+	}
+	for i := len(f.nodes) - 1; i >= 0 && len(all) < limit; i-- {
+		if f.nodes[i].order < 0 {
+			all = append(all, f.nodes[i])
+		}
+	}
+	return all
+}
--- a/internal/decide/gang/state.go
+++ b/internal/decide/gang/state.go
@@ -1,257 +1,534 @@
 package gang
 
 import (
-	"fmt"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/guarantee"
 )
 
 // State is the planner's knowledge of one data centre. The zero value is an
 // empty data centre. It is not safe for concurrent use.
 type State struct {
-	workers  map[string]*workerState
-	accounts map[string]Account
-	jobs     map[string]*jobState
-	weights  Weights
+	fleet    fleet
+	accounts map[string]*account
+	// configured is the last list given to SetAccounts.
+	configured []Account
+	jobs       map[string]*jobState
+	groups     map[shape]*group
+	// order lists the groups in the order in which they were made.
+	order   []*group
+	weights Weights
+	// recarve says that the blocks may no longer back the guarantees.
+	recarve bool
+	// ready are the jobs whose claimed place has become free.
+	ready []*jobState
+	// head is the waiting job with a reservation.
+	head *jobState
+	// fresh are the queues to look at in the next round.
+	fresh []*queue
+	// failed are the waiting jobs to be ended as failed.
+	failed      []*jobState
+	quarantined []*node
+	now         time.Time
+	off         guards
 }
 
-type workerState struct {
-	Worker
-	// holder is the job that holds each accelerator, "" for none.
-	holder []string
+// guards are the checks that tests turn off, one by one, to show their worth.
+type guards struct {
+	wholeGang       bool
+	heldOnce        bool
+	preemptibleOnly bool
+	reclaim         bool
+	recarve         bool
 }
 
+// account is a client account with its block.
+type account struct {
+	Account
+	// pieces is the block, in fleet order.
+	pieces    []guarantee.Piece
+	shortfall int
+	// held is the number of accelerators that its jobs hold; own of them are
+	// in its block.
+	held, own int
+	queues    []*queue
+	// waits is the first waiting job that needs accelerators of the block
+	// which the account's own jobs hold.
+	waits *jobState
+	// waitsUntil is when the last of these jobs is expected to end.
+	waitsUntil time.Time
+	history    map[string]*history
+}
+
+// jobState is a job that waits or runs.
 type jobState struct {
 	Job
+	account *account
+	queue   *queue
+	// key is the job's place in its queue.
+	key     float64
 	running bool
-	slots   []Slot
-	reason  string
+	// preempting says that a Preempt order was given and not yet carried out.
+	preempting bool
+	slots      []Slot
+	// claim is the place that is kept for a waiting job; nil for none.
+	claim *claim
+	// full is the declared run time of the whole job.
+	full time.Duration
+	// started is the time of the last Start order.
+	started time.Time
+	// guest is the job on whose reservation this one runs; nil for none.
+	guest    *jobState
+	failedOn map[string]bool
+	// bad says that its start failed on several sound workers.
+	bad    bool
+	reason string
 }
 
 // SetWorker adds or changes a worker.
 func (s *State) SetWorker(w Worker) {
-	if s.workers == nil {
-		s.workers = make(map[string]*workerState)
-	}
-	ws, ok := s.workers[w.ID]
+	w.Accelerators = min(w.Accelerators, maxAccelerators)
+	n, ok := s.fleet.byID[w.ID]
 	if !ok {
-		ws = &workerState{holder: make([]string, w.Accelerators)}
-		s.workers[w.ID] = ws
+		s.dropClaims()
+		s.fleet.add(w)
+		s.forgetPieces()
+		s.recarve = true
+		return
+	}
+	if n.Worker == w && !n.gone {
+		return
+	}
+	if n.Accelerators != w.Accelerators || n.Rack != w.Rack {
+		s.replace(n, w)
+		return
+	}
+	n.Worker, n.gone = w, false
+	s.changed(n)
+}
+
+// maxAccelerators is the largest number of accelerators of a worker.
+const maxAccelerators = 64
+
+// replace gives a worker another size or rack. Jobs keep the accelerators that
+// are still there.
+func (s *State) replace(n *node, w Worker) {
+	s.dropClaims()
+	for _, h := range n.holders[min(w.Accelerators, len(n.holders)):] {
+		if h != nil {
+			h.account.held--
+		}
+	}
+	n.Worker, n.gone = w, false
+	n.resize()
+	s.fleet.arrange()
+	s.forgetPieces()
+	s.recarve = true
+}
+
+// forgetPieces drops the blocks, whose positions no longer hold.
+func (s *State) forgetPieces() {
+	for _, n := range s.fleet.nodes {
+		for i, o := range n.owners {
+			if o != nil {
+				n.owners[i] = nil
+			}
+		}
+	}
+	for _, a := range s.accounts {
+		a.pieces = nil
 	}
-	ws.Worker = w
+}
+
+// changed follows up a worker that opened, closed, came or went.
+func (s *State) changed(n *node) {
+	if n.all() == 0 {
+		for _, js := range distinct(n.claims) {
+			s.unclaim(js)
+		}
+	}
+	s.fleet.index(n)
+	s.fleet.touch(n.rack)
+	s.recarve = s.recarve || s.shortfall() > 0 || n.owned(nil) != guarantee.All(n.Accelerators)
+}
+
+func (s *State) shortfall() int {
+	sum := 0
+	for _, a := range s.configured {
+		sum += s.accounts[a.ID].shortfall
+	}
+	return sum
 }
 
 // RemoveWorker removes a worker that is gone. Its jobs are requeued by the
 // planner with Requeue.
-func (s *State) RemoveWorker(id string) { delete(s.workers, id) }
+func (s *State) RemoveWorker(id string) {
+	n, ok := s.fleet.byID[id]
+	if !ok || n.gone {
+		return
+	}
+	n.gone = true
+	s.changed(n)
+}
 
 // SetAccounts replaces the accounts and their guarantees.
 func (s *State) SetAccounts(accounts []Account) {
-	s.accounts = make(map[string]Account, len(accounts))
+	if slices.Equal(s.configured, accounts) {
+		return
+	}
+	for _, a := range s.accounts {
+		a.Account = Account{ID: a.ID}
+	}
+	s.configured = slices.Clone(accounts)
 	for _, a := range accounts {
-		s.accounts[a.ID] = a
+		s.account(a.ID).Account = a
 	}
+	s.recarve = true
+}
+
+// account returns the account of an id; one without a guarantee when it is
+// not configured.
+func (s *State) account(id string) *account {
+	a, ok := s.accounts[id]
+	if ok {
+		return a
+	}
+	if s.accounts == nil {
+		s.accounts = make(map[string]*account)
+	}
+	a = &account{Account: Account{ID: id}}
+	s.accounts[id] = a
+	return a
 }
 
 // SetWeights sets what placement prefers.
-func (s *State) SetWeights(w Weights) { s.weights = w }
+func (s *State) SetWeights(w Weights) {
+	if s.weights == w {
+		return
+	}
+	s.weights = w
+	s.reorder()
+}
 
 // Submit queues a job. The error is of kind NeverFits and names the limit when
 // the whole data centre, empty, could not hold the job.
 func (s *State) Submit(j Job) error {
-	places := 0
-	for _, w := range s.workers {
-		places += w.Accelerators / j.Accelerators
+	if err := s.fits(j); err != nil {
+		return err
 	}
-	if places < j.Tasks {
-		return fault.WithField(fault.NeverFits, "tasks",
-			"%d tasks of %d accelerators; the data centre holds at most %d", j.Tasks, j.Accelerators, places)
-	}
-	s.add(j)
+	s.Restore(j)
 	return nil
 }
 
+// Restore queues a job that was admitted before, also when the workers that
+// are known now could not hold it.
+func (s *State) Restore(j Job) {
+	if _, ok := s.jobs[j.ID]; ok {
+		return
+	}
+	s.enqueue(s.add(j))
+}
+
 func (s *State) add(j Job) *jobState {
+	js, ok := s.jobs[j.ID]
+	if ok {
+		return js
+	}
 	if s.jobs == nil {
 		s.jobs = make(map[string]*jobState)
 	}
-	js, ok := s.jobs[j.ID]
-	if !ok {
-		js = &jobState{Job: j, reason: "waits for its turn"}
-		s.jobs[j.ID] = js
-	}
+	js = &jobState{Job: j, account: s.account(j.Account), full: j.Declared, reason: "waits for its turn"}
+	s.jobs[j.ID] = js
 	return js
 }
 
 // Adopt records a gang that a former planner started.
-func (s *State) Adopt(j Job, slots []Slot, _ time.Time) {
+func (s *State) Adopt(j Job, slots []Slot, now time.Time) {
 	js := s.add(j)
-	js.running, js.slots, js.reason = true, slots, "adopted from a former planner"
-	s.hold(j.ID, slots)
-}
-
-func (s *State) hold(id string, slots []Slot) {
-	for _, sl := range slots {
-		w, ok := s.workers[sl.Worker]
-		if !ok {
-			continue
-		}
-		for _, a := range sl.Accelerators {
-			w.holder[a] = id
-		}
+	if js.running {
+		return
 	}
-}
-
-func (s *State) free(js *jobState) {
-	s.hold("", js.slots)
-	js.running, js.slots = false, nil
+	s.leave(js)
+	s.dropClaim(js)
+	s.run(js, slots, now)
+	js.reason = "adopted from a former planner"
 }
 
 // Requeue puts a job back whole: after a failed start, a lost member or a
 // pre-emption. remaining is the declared run time that is left.
 func (s *State) Requeue(id string, remaining time.Duration, _ time.Time, reason string) {
 	js, ok := s.jobs[id]
-	if !ok {
+	if !ok || !js.running {
 		return
 	}
-	s.free(js)
+	s.release(js)
 	js.Declared, js.reason = remaining, reason
+	s.enqueue(js)
 }
 
-// Ended removes a job that ended or was cancelled and frees its place.
-func (s *State) Ended(id string, _ time.Time) {
+// Ended removes a job that ended and frees its place. The account's later
+// declarations are corrected by its run time.
+func (s *State) Ended(id string, now time.Time) {
 	js, ok := s.jobs[id]
 	if !ok {
 		return
 	}
-	s.free(js)
-	delete(s.jobs, id)
+	if js.running {
+		s.learn(js, now)
+		s.succeeded(js)
+	}
+	s.remove(js)
 }
 
-// StartFailed attributes a failed start of a job to a worker.
-func (s *State) StartFailed(_, _ string, _ time.Time) {}
+// Cancelled removes a job that was cancelled or failed and frees its place.
+// Nothing is learnt from its run time.
+func (s *State) Cancelled(id string, _ time.Time) {
+	if js, ok := s.jobs[id]; ok {
+		s.remove(js)
+	}
+}
 
-// Plan returns the orders of one round. A job with a Start order holds its
-// slots from then on.
-func (s *State) Plan(_ time.Time) []Order {
-	var orders []Order
-	for _, js := range s.order() {
-		slots := s.fit(js.Job)
-		if slots == nil {
-			js.reason = fmt.Sprintf("no room for %d x %d accelerators", js.Tasks, js.Accelerators)
-			continue
-		}
-		js.running, js.slots, js.reason = true, slots, "first fit"
-		s.hold(js.ID, slots)
-		orders = append(orders, Order{Kind: Start, JobID: js.ID, Slots: slots, Reason: js.reason})
+func (s *State) remove(js *jobState) {
+	s.leave(js)
+	s.dropClaim(js)
+	s.release(js)
+	delete(s.jobs, js.ID)
+}
+
+// run makes a job hold its slots.
+func (s *State) run(js *jobState, slots []Slot, now time.Time) {
+	js.running, js.preempting = true, false
+	js.slots, js.started = slots, now
+	s.mark(js, js, nil)
+}
+
+// release frees the slots of a job and counts down the claims on them.
+func (s *State) release(js *jobState) {
+	if !js.running {
+		return
 	}
-	return orders
+	s.mark(js, nil, js)
+	js.running, js.preempting = false, false
+	js.slots, js.guest = nil, nil
+	s.freshenAll(js.account)
 }
 
-func (s *State) order() []*jobState {
-	var waiting []*jobState
-	for _, js := range s.jobs {
-		if !js.running {
-			waiting = append(waiting, js)
+// mark sets the holder of the slots of js, where it was from before.
+func (s *State) mark(js, holder, from *jobState) {
+	for _, sl := range js.slots {
+		n, ok := s.fleet.byID[sl.Worker]
+		if !ok {
+			continue
+		}
+		for _, a := range sl.Accelerators {
+			if a < len(n.holders) && n.holders[a] == from {
+				s.markOne(n, a, js, holder)
+			}
+		}
+		s.fleet.index(n)
+		if holder == nil {
+			s.fleet.touch(n.rack)
 		}
 	}
-	sort.Slice(waiting, func(i, j int) bool {
-		a, b := waiting[i], waiting[j]
-		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
+	s.shareChanged(js.account)
+}
+
+func (s *State) markOne(n *node, a int, js, holder *jobState) {
+	delta := 1
+	if holder == nil {
+		delta = -1
+		n.held &^= 1 << a
+		if c := n.claims[a]; c != nil {
+			s.countDown(c)
 		}
-		if !a.Submitted.Equal(b.Submitted) {
-			return a.Submitted.Before(b.Submitted)
+	} else {
+		n.held |= 1 << a
+		if c := n.claims[a]; c != nil {
+			c.claim.pending++
 		}
-		return a.ID < b.ID
-	})
-	return waiting
+	}
+	n.holders[a] = holder
+	js.account.held += delta
+	if n.owners[a] == js.account {
+		js.account.own += delta
+	}
 }
 
-func (s *State) fit(j Job) []Slot {
-	ids := make([]string, 0, len(s.workers))
-	for id := range s.workers {
-		ids = append(ids, id)
+// carve carves the blocks again after a change of guarantees or capacity.
+func (s *State) carve() {
+	s.recarve = false
+	if s.off.recarve && s.carved() {
+		return
 	}
-	sort.Slice(ids, func(a, b int) bool {
-		wa, wb := s.workers[ids[a]], s.workers[ids[b]]
-		if wa.Rack != wb.Rack {
-			return wa.Rack < wb.Rack
+	workers := make([]guarantee.Worker, len(s.fleet.nodes))
+	for i, n := range s.fleet.nodes {
+		s.fleet.steps++
+		workers[i].Rack = n.rack.index
+		if n.all() != 0 {
+			workers[i].Accelerators = n.Accelerators
 		}
-		return wa.ID < wb.ID
+	}
+	shapes := make([]guarantee.Shape, len(s.configured))
+	for i, a := range s.configured {
+		shapes[i] = guarantee.Shape{Workers: a.Workers, Accelerators: a.Accelerators, Keep: s.accounts[a.ID].pieces}
+	}
+	blocks := guarantee.Carve(workers, shapes, func(worker, shape int) uint64 {
+		return s.carvable(s.fleet.nodes[worker], s.accounts[s.configured[shape].ID])
 	})
-	var slots []Slot
-	for _, id := range ids {
-		w := s.workers[id]
-		if w.Closed {
-			continue
-		}
-		for a := 0; a+j.Accelerators <= len(w.holder) && len(slots) < j.Tasks; a += j.Accelerators {
-			if run, ok := freeRun(w, a, j.Accelerators); ok {
-				slots = append(slots, Slot{Task: len(slots), Worker: id, Accelerators: run})
-			}
-		}
+	s.forgetPieces()
+	for i, a := range s.configured {
+		s.own(s.accounts[a.ID], blocks[i])
 	}
-	if len(slots) < j.Tasks {
-		return nil
+	s.recount()
+}
+
+func (s *State) carved() bool {
+	return slices.ContainsFunc(s.configured, func(a Account) bool { return len(s.accounts[a.ID].pieces) > 0 })
+}
+
+// carvable returns the accelerators that may be carved for a: those that no
+// other account's job holds or claims for good.
+func (s *State) carvable(n *node, a *account) uint64 {
+	m := guarantee.All(n.Accelerators)
+	for i := range n.holders {
+		if fixed(n.holders[i], a) || fixed(n.claims[i], a) {
+			m &^= 1 << i
+		}
 	}
-	return slots
+	return m
+}
+
+func fixed(js *jobState, a *account) bool {
+	return js != nil && !js.Idempotent && js.account != a
 }
 
-func freeRun(w *workerState, from, n int) ([]int, bool) {
-	run := make([]int, n)
-	for i := range n {
-		if w.holder[from+i] != "" {
-			return nil, false
+func (s *State) own(a *account, b guarantee.Block) {
+	a.pieces, a.shortfall = b.Pieces, b.Shortfall
+	sort.Slice(a.pieces, func(i, j int) bool { return a.pieces[i].Worker < a.pieces[j].Worker })
+	for _, p := range a.pieces {
+		n := s.fleet.nodes[p.Worker]
+		for i := range n.owners {
+			if p.Mask&(1<<i) != 0 {
+				n.owners[i] = a
+			}
 		}
-		run[i] = from + i
 	}
-	return run, true
 }
 
-// Explain says why a job stands where it does; found is false for a job that
-// is not known.
-func (s *State) Explain(id string) (x Explanation, found bool) {
-	js, ok := s.jobs[id]
-	if !ok {
-		return Explanation{}, false
+// recount counts again what stands inside and outside the blocks.
+func (s *State) recount() {
+	for _, a := range s.accounts {
+		a.own, a.waits = 0, nil
+		for _, q := range a.queues {
+			s.freshen(q)
+		}
 	}
-	state := "waiting"
-	if js.running {
-		state = "running"
+	for _, n := range s.fleet.nodes {
+		for i, h := range n.holders {
+			if h != nil && n.owners[i] == h.account {
+				h.account.own++
+			}
+		}
+		s.fleet.index(n)
 	}
-	return Explanation{JobID: id, State: state, Reason: js.reason}, true
+	for _, r := range s.fleet.racks {
+		s.fleet.touch(r)
+	}
+	s.reorder()
 }
 
-// Accounts returns the status of all accounts, ordered by id.
+// Accounts returns the status of all configured accounts: the largest
+// shortfall first, then by id.
 func (s *State) Accounts() []AccountStatus {
-	all := make([]AccountStatus, 0, len(s.accounts))
-	for _, a := range s.accounts {
-		all = append(all, AccountStatus{ID: a.ID, Guaranteed: a.Workers * a.Accelerators})
+	if s.recarve {
+		s.carve()
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	all := make([]AccountStatus, 0, len(s.configured))
+	for _, c := range s.configured {
+		a := s.accounts[c.ID]
+		all = append(all, AccountStatus{
+			ID: a.ID, Guaranteed: a.Workers * a.Accelerators, InUse: a.own, Borrowed: a.held - a.own,
+			Reclaimable: s.reclaimable(a), Shortfall: a.shortfall,
+		})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Shortfall != all[j].Shortfall {
+			return all[i].Shortfall > all[j].Shortfall
+		}
+		return all[i].ID < all[j].ID
+	})
 	return all
 }
 
-// Measures returns the fleet's measures.
-func (s *State) Measures() Measures {
-	var m Measures
-	for _, w := range s.workers {
-		m.Accelerators += w.Accelerators
-		for _, h := range w.holder {
-			if h == "" {
-				m.Free++
+// reclaimable counts the accelerators of a's block that are free or held by
+// borrowers that can be pre-empted.
+func (s *State) reclaimable(a *account) int {
+	sum := 0
+	for _, p := range a.pieces {
+		n := s.fleet.nodes[p.Worker]
+		for i, h := range n.holders {
+			if p.Mask&(1<<i) != 0 && (h == nil || h.account != a && h.Idempotent) {
+				sum++
 			}
 		}
 	}
-	for _, js := range s.jobs {
-		if js.running {
-			m.Running++
-		} else {
-			m.Waiting++
+	return sum
+}
+
+// fits returns an error of kind NeverFits that names the limit.
+func (s *State) fits(j Job) error {
+	if j.Tasks < 1 || j.Accelerators < 1 {
+		return fault.WithField(fault.NeverFits, "tasks", "%d tasks of %d accelerators; each is at least 1", j.Tasks, j.Accelerators)
+	}
+	places, run, longest, widest, total := 0, 0, 0, 0, 0
+	for _, n := range s.fleet.nodes {
+		k := 0
+		if !n.gone {
+			k = count(guarantee.All(n.Accelerators), j.Accelerators, j.Tasks)
+			widest, total = max(widest, n.Accelerators), total+n.Accelerators
 		}
+		places += k
+		run += k
+		if k == 0 {
+			run = 0
+		}
+		longest = max(longest, run)
 	}
-	return m
+	switch {
+	case places == 0:
+		return fault.WithField(fault.NeverFits, "accelerators",
+			"%d adjacent accelerators; the largest worker has %d", j.Accelerators, widest)
+	case places < j.Tasks:
+		return fault.WithField(fault.NeverFits, "tasks",
+			"%d tasks of %d accelerators; the data centre holds at most %d", j.Tasks, j.Accelerators, places)
+	case j.Adjacent && longest < j.Tasks:
+		return fault.WithField(fault.NeverFits, "adjacent",
+			"%d adjacent tasks of %d accelerators; neighbouring workers hold at most %d", j.Tasks, j.Accelerators, longest)
+	}
+	return s.mayHold(j, total)
+}
+
+// mayHold refuses a job that cannot be put back and is larger than its
+// account's guarantee together with what nobody is guaranteed.
+func (s *State) mayHold(j Job, total int) error {
+	if j.Idempotent {
+		return nil
+	}
+	limit, own := total, 0
+	for _, a := range s.configured {
+		if a.ID == j.Account {
+			own = a.Workers * a.Accelerators
+			continue
+		}
+		limit -= a.Workers * a.Accelerators
+	}
+	limit = max(limit, own)
+	if need := j.Tasks * j.Accelerators; need > limit {
+		return fault.WithField(fault.NeverFits, "idempotent",
+			"%d accelerators for a job that cannot be put back; outside the guarantees of others there are %d", need, limit)
+	}
+	return nil
 }
--- a/internal/decide/gang/types.go
+++ b/internal/decide/gang/types.go
@@ -64,6 +64,8 @@
 	// Preempt checkpoints a running gang and stops it after the grace; the
 	// job is queued again.
 	Preempt OrderKind = "preempt"
+	// Fail ends a waiting job as failed: it failed on several sound workers.
+	Fail OrderKind = "fail"
 )
 
 // Order is one decision of Plan.
@@ -89,6 +91,8 @@
 	JobID  string
 	State  string
 	Reason string
+	// Place lists the workers where the job runs, or would fit.
+	Place []string
 	// Holders are the jobs that hold the place where the job would fit.
 	Holders []string
 }
@@ -115,6 +119,13 @@
 	Free         int
 	Waiting      int
 	Running      int
-	// Fragmentation is between 0 and 1.
+	// Fragmentation is 1 - covered/free, between 0 and 1: covered is the number
+	// of free accelerators in guaranteed shapes that can be placed together.
 	Fragmentation float64
+	// Steps counts the workers, racks and jobs that the decisions looked at
+	// since the state was made.
+	Steps int64
+	// Quarantined is the number of workers that get no work because starts
+	// failed on them.
+	Quarantined int
 }
