Keep the configuration in sections and spread what changed

The first keeper wrote the whole document under one key and learned of a new version by its own watch at every VM, with no check against an old store and no way to tell a lost answer apart once another edit had followed.

The head is now a manifest of immutable section revisions: defaults, kinds, exceptions, and one per account with the exceptions that name it. An edit is accepted by compare-and-swap on the head; the head names the latest 32 edit ids, so that a lost answer is resolved although another edit came after it. One VM per data centre watches; the others learn of a version by heartbeats and fetch the changed sections from a peer of their data centre first. The number of a version exceeds every one that this VM has heard of, so an edit on a store restored from an old copy takes a number that no reachable VM knows. Checks name the line of the key and what is accepted.

Ruled out: keys of sections by content alone, since the removal of old revisions could then delete a section that a pending edit had found present.

--- a/internal/control/config/keeper.go
+++ b/internal/control/config/keeper.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,49 +13,98 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
 )
 
-// HeadKey is the store's key of the current head.
-const HeadKey = "config/head"
+// Keys of the store.
+const (
+	// HeadKey is the key of the current manifest.
+	HeadKey       = "config/head"
+	sectionPrefix = "config/sections/"
+	logPrefix     = "configlog/"
+)
+
+// Times of the spread.
+const (
+	// followInterval is the time between two looks at the peers' versions.
+	followInterval = 500 * time.Millisecond
+	// farDelay is the time that a VM other than the watching one waits for a
+	// peer of its own data centre before it asks others and the store.
+	farDelay = 3 * time.Second
+	// watchWait bounds one watch; a watch whose connection went silent is
+	// noticed after it.
+	watchWait = 6 * time.Second
+	// retryDelay is the mean time before a failed call is made again.
+	retryDelay = time.Second
+)
 
-// Head is the record of the current version.
+// maxKept is the number of earlier versions that are kept for diffs.
+const maxKept = 32
+
+// Head is the version in force with its document.
 type Head struct {
-	// Version grows by one with every accepted edit.
-	Version uint64 `json:"version"`
-	// EditID is chosen by the editor and tells whether a lost write took effect.
-	EditID     string   `json:"edit_id"`
-	Author     string   `json:"author"`
-	Reason     string   `json:"reason"`
-	TimeUnixMS int64    `json:"time_unix_ms"`
-	Document   Document `json:"document"`
-}
-
-// Edit is an operator's change of the configuration.
-type Edit struct {
-	// BaseVersion is the version that the operator changed.
-	BaseVersion uint64 `json:"base_version"`
-	EditID      string `json:"edit_id"`
-	Author      string `json:"author"`
-	Reason      string `json:"reason"`
-	// TOML is the whole new document.
-	TOML string `json:"toml"`
+	Header
+	Document Document `json:"document"`
 }
 
 // KV is the part of the store that a Keeper needs.
 type KV interface {
 	Get(ctx context.Context, key string) (store.Entry, bool, error)
+	List(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error)
+	Delete(ctx context.Context, key string, ifRevision uint64) error
 	Watch(ctx context.Context, prefix string, after uint64) ([]store.Entry, uint64, error)
 }
 
-// Keeper keeps the configuration in force at this VM.
+// Peer is a live VM and the version that it reports.
+type Peer struct {
+	VMID       string
+	DataCentre string
+	Address    string
+	Version    uint64
+}
+
+// Peers are the other VMs.
+type Peers interface {
+	// Live returns the peers that were heard of lately.
+	Live() []Peer
+	// Expected reports whether this VM knows of peers that it has yet to hear.
+	Expected() bool
+	// Fetch returns what changed since a version, everything since 0.
+	Fetch(ctx context.Context, address string, have uint64) (Update, error)
+}
+
+// Keeper keeps the configuration in force at this VM. Its exported fields are
+// set before use.
 type Keeper struct {
-	KV    KV
+	KV KV
+	// Peers is nil for a VM that has none.
+	Peers Peers
 	Meter *meter.Meter
 	Log   *slog.Logger
+	// DataCentre is the one that this VM stands in.
+	DataCentre string
+	// Watching reports whether this VM watches the store for its data centre;
+	// nil means always.
+	Watching func() bool
+	// Workers returns the known workers; nil means that none is known.
+	Workers func() []Worker
+
+	// applying is held by the one edit that this VM makes at a time.
+	applying sync.Mutex
 
-	mu       sync.RWMutex
-	head     Head
+	mu      sync.RWMutex
+	current *snapshot
+	// kept holds earlier versions, oldest first.
+	kept []*snapshot
+	// seen is the highest version that this VM has heard of.
+	seen uint64
+	// revision is the store's revision of the head that was read last.
 	revision uint64
-	changed  func()
+	// behindSince is the time at which a peer was first seen ahead; zero when
+	// none is.
+	behindSince time.Time
+	// begun is the time of the first Begin.
+	begun   time.Time
+	alarmed string
+	changed func()
 }
 
 // OnChange sets the function that is called after a new version is in force.
@@ -62,142 +112,203 @@
 
 // Current returns the head in force; its version is 0 before the first one.
 func (k *Keeper) Current() Head {
+	s := k.snapshot()
+	return Head{Header: s.manifest.Header, Document: s.doc}
+}
+
+// Update returns what changed between a version and the one in force.
+func (k *Keeper) Update(have uint64) Update { return k.snapshot().update(have) }
+
+// Effective returns the values in force within a scope at a time.
+func (k *Keeper) Effective(q Scope, now time.Time) Effective {
+	return k.snapshot().doc.Effective(q, now)
+}
+
+var empty = &snapshot{}
+
+func (k *Keeper) snapshot() *snapshot {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	return k.head
+	if k.current == nil {
+		return empty
+	}
+	return k.current
 }
 
-// Offer puts a head in force unless its version is not higher than the current
-// one, and reports whether it did.
-func (k *Keeper) Offer(h Head) bool {
+func (k *Keeper) version() uint64 { return k.snapshot().manifest.Version }
+
+// put puts a version in force unless its number is not higher than that of the
+// one in force.
+func (k *Keeper) put(s *snapshot) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if h.Version < k.head.Version {
-		k.Meter.Inc("alarm_config_version_lower")
-		return false
+	v := s.manifest.Version
+	if k.current != nil && v <= k.current.manifest.Version {
+		return
+	}
+	if k.current != nil {
+		k.kept = append(k.kept, k.current)
 	}
-	if h.Version == k.head.Version {
-		return false
+	if extra := len(k.kept) - maxKept; extra > 0 {
+		k.kept = slices.Delete(k.kept, 0, extra)
 	}
-	k.head = h
-	k.Meter.Set("config_version", int64(h.Version))
-	k.Log.Info("configuration in force", "version", h.Version, "author", h.Author)
+	k.current = s
+	k.seen = max(k.seen, v)
+	k.Meter.Set("config_version", int64(v))
+	k.Log.Info("configuration in force", "version", v, "author", s.manifest.Author)
 	if k.changed != nil {
 		go k.changed()
 	}
-	return true
 }
 
-// Load reads the head from the store.
-func (k *Keeper) Load(ctx context.Context) error {
-	e, found, err := k.KV.Get(ctx, HeadKey)
-	if err != nil || !found {
-		return err
+// earlier returns a version that is still kept.
+func (k *Keeper) earlier(version uint64) (*snapshot, bool) {
+	if version == 0 {
+		return empty, true
 	}
-	return k.accept(e)
-}
-
-func (k *Keeper) accept(e store.Entry) error {
-	var h Head
-	if err := json.Unmarshal(e.Value, &h); err != nil {
-		return fault.Wrap(fault.Internal, err, "decode %s", HeadKey)
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	for _, s := range k.kept {
+		if s.manifest.Version == version {
+			return s, true
+		}
 	}
-	k.mu.Lock()
-	k.revision = e.Revision
-	k.mu.Unlock()
-	k.Offer(h)
-	return nil
+	return nil, false
 }
 
-const watchRetryDelay = time.Second
-
-// Run watches the head until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		k.mu.RLock()
-		after := k.revision
-		k.mu.RUnlock()
-		entries, _, err := k.KV.Watch(ctx, HeadKey, after)
-		if err != nil {
-			k.Meter.Inc("config_watch_retry")
-			sleep(ctx, watchRetryDelay)
-			continue
-		}
-		for _, e := range entries {
-			if err := k.accept(e); err != nil {
-				k.Meter.Inc("config_decode_error")
-			}
-		}
+// alarm counts a violation and logs each new one once.
+func (k *Keeper) alarm(counter, message string, m Header) {
+	k.Meter.Inc(counter)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.alarmed == counter+m.EditID {
+		return
 	}
+	k.alarmed = counter + m.EditID
+	k.Log.Error(message, "version", m.Version, "edit_id", m.EditID, "author", m.Author)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+// Load brings this VM up to the store's version.
+func (k *Keeper) Load(ctx context.Context) error {
+	_, err := k.load(ctx)
+	return err
 }
 
-// Apply checks an edit and writes it by compare-and-swap. The error is of kind
-// Conflict when another edit came first.
-func (k *Keeper) Apply(ctx context.Context, e Edit, now time.Time) (Head, error) {
-	doc, err := Parse("configuration", []byte(e.TOML))
+// load is Load; it returns the store's head, with revision 0 when there is none.
+func (k *Keeper) load(ctx context.Context) (store.Entry, error) {
+	// A version that was in force before the read must be in the store.
+	before := k.snapshot().manifest.Header
+	e, found, err := k.KV.Get(ctx, HeadKey)
 	if err != nil {
-		return Head{}, err
+		return store.Entry{}, err
+	}
+	if !found {
+		if before.Version > 0 {
+			k.alarm("alarm_config_version_lower", "the store has lost the configuration", before)
+		}
+		k.setRevision(0)
+		return store.Entry{}, nil
 	}
-	current, found, err := k.KV.Get(ctx, HeadKey)
+	m, err := DecodeManifest(e.Value)
 	if err != nil {
-		return Head{}, err
+		k.Meter.Inc("config_decode_error")
+		return store.Entry{}, err
 	}
-	var base Head
-	if found {
-		if err := json.Unmarshal(current.Value, &base); err != nil {
-			return Head{}, fault.Wrap(fault.Internal, err, "decode %s", HeadKey)
+	k.setRevision(e.Revision)
+	if m.Version < before.Version {
+		k.alarm("alarm_config_version_lower", "the store holds a lower version than the one in force", m.Header)
+		if !before.contains(m.EditID) && m.Version+maxRecent > before.Version {
+			k.alarm("alarm_config_version_fork", "the store holds an edit that the version in force does not contain", m.Header)
 		}
+		return e, nil
 	}
-	if base.EditID == e.EditID && found {
-		return base, nil
-	}
-	if base.Version != e.BaseVersion {
-		return Head{}, fault.WithField(fault.Conflict, "base_version",
-			"version %d by %s came first", base.Version, base.Author)
+	return e, k.accept(ctx, m)
+}
+
+func (k *Keeper) setRevision(rev uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = rev
+}
+
+// accept puts a manifest of the store in force unless it is not newer.
+func (k *Keeper) accept(ctx context.Context, m Manifest) error {
+	cur := k.snapshot()
+	if m.Version == cur.manifest.Version && m.EditID != cur.manifest.EditID {
+		k.alarm("alarm_config_version_fork", "the store holds another edit under the version in force", m.Header)
 	}
-	h := Head{
-		Version: base.Version + 1, EditID: e.EditID, Author: e.Author, Reason: e.Reason,
-		TimeUnixMS: now.UnixMilli(), Document: doc,
+	if m.Version <= cur.manifest.Version {
+		return nil
 	}
-	b, err := json.Marshal(h)
+	s, err := k.fetchSections(ctx, cur, m)
 	if err != nil {
-		return Head{}, fault.Wrap(fault.Internal, err, "encode head")
-	}
-	if _, err := k.KV.Put(ctx, HeadKey, b, current.Revision); err != nil {
-		return k.resolve(ctx, e, err)
+		return err
 	}
-	k.Offer(h)
-	return h, nil
+	k.put(s)
+	return nil
 }
 
-// resolve finds out whether a write whose answer was lost took effect.
-func (k *Keeper) resolve(ctx context.Context, e Edit, cause error) (Head, error) {
-	if fault.Is(cause, fault.StoreUnavailable) {
-		return Head{}, cause
+// maxSingleReads is the number of sections up to which each is read on its own.
+const maxSingleReads = 8
+
+// fetchSections reads those sections of a manifest that s does not hold.
+func (k *Keeper) fetchSections(ctx context.Context, s *snapshot, m Manifest) (*snapshot, error) {
+	u := Update{Header: m.Header}
+	var missing []Ref
+	bodies := make(map[string][]byte)
+	for _, r := range m.Sections {
+		switch {
+		case r.Digest == "":
+		case slices.Contains(s.manifest.Sections, r):
+			bodies[r.Name] = s.bodies[r.Name]
+		default:
+			missing = append(missing, r)
+		}
 	}
-	entry, found, err := k.KV.Get(ctx, HeadKey)
+	read, err := k.readSections(ctx, missing)
 	if err != nil {
-		return Head{}, cause
+		return nil, err
 	}
-	var h Head
-	if found {
-		if err := json.Unmarshal(entry.Value, &h); err != nil {
-			return Head{}, fault.Wrap(fault.Internal, err, "decode %s", HeadKey)
+	for _, r := range missing {
+		body, ok := read[sectionKey(r)]
+		if !ok || digest(body) != r.Digest {
+			return nil, fault.New(fault.Conflict, "section %s of version %d is not in the store", r.Name, u.Header.Version)
 		}
+		bodies[r.Name] = body
 	}
-	if h.EditID == e.EditID {
-		k.Offer(h)
-		return h, nil
+	return build(m.Header, slices.Clone(m.Sections), bodies)
+}
+
+func (k *Keeper) readSections(ctx context.Context, refs []Ref) (map[string][]byte, error) {
+	read := make(map[string][]byte, len(refs))
+	if len(refs) > maxSingleReads {
+		entries, _, err := k.KV.List(ctx, sectionPrefix)
+		for _, e := range entries {
+			read[e.Key] = e.Value
+		}
+		return read, err
 	}
-	if fault.Is(cause, fault.Conflict) {
-		return Head{}, fault.WithField(fault.Conflict, "base_version", "version %d by %s came first", h.Version, h.Author)
+	for _, r := range refs {
+		e, found, err := k.KV.Get(ctx, sectionKey(r))
+		if err != nil {
+			return nil, err
+		}
+		if found {
+			read[e.Key] = e.Value
+		}
 	}
-	return Head{}, cause
+	return read, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
--- /dev/null
+++ b/internal/control/config/keeper_test.go
@@ -0,0 +1,308 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+const inForceWithin = 10 * time.Second
+
+// Two operators edit at two VMs; one answer in five of the store is lost.
+func TestRacingOperatorsLoseNoEdit(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	s := &kv{loseAnswer: func(string) bool { return r.IntN(5) == 0 }}
+	n := &network{}
+	vms := []*vm{n.add("a", "uppland-1", s), n.add("b", "dalarna-1", s)}
+	var wg sync.WaitGroup
+	conflicts := make([]int, len(vms))
+	for i, v := range vms {
+		wg.Go(func() {
+			for j := range 100 {
+				id := fmt.Sprintf("%s-%d", v.name, j)
+				for {
+					_, err := v.edit(id, id)
+					if err == nil {
+						break
+					}
+					if fault.Is(err, fault.Conflict) {
+						conflicts[i]++
+						if !strings.Contains(err.Error(), "by eva") || !strings.Contains(err.Error(), ".reason = ") {
+							t.Errorf("the conflict names no author or change: %v", err)
+						}
+						continue
+					}
+					t.Errorf("edit %s: %v", id, err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.NoErr(vms[0].Load(context.Background()))
+	head := vms[0].Current()
+	is.Equal(head.Version, uint64(200))
+	is.Equal(len(reasons(head.Document)), 200)
+	is.True(conflicts[0]+conflicts[1] > 0)
+	log, err := vms[0].History(context.Background(), 1000)
+	is.NoErr(err)
+	is.Equal(len(log), 200)
+}
+
+// fleet returns a running fleet of data centres with two VMs each.
+func fleet(n *network, s *kv, dataCentres int) []*vm {
+	var vms []*vm
+	for i := range dataCentres {
+		for j := range 2 {
+			dc := fmt.Sprintf("dc-%d", i)
+			vms = append(vms, n.add(fmt.Sprintf("%s-%d", dc, j), dc, s).start())
+		}
+	}
+	time.Sleep(2 * time.Second)
+	return vms
+}
+
+func stopAll(vms []*vm) {
+	for _, v := range vms {
+		v.kill()
+	}
+}
+
+// expectInForce fails unless a version is in force on all VMs in time.
+func expectInForce(t *testing.T, vms []*vm, version uint64) {
+	t.Helper()
+	end := time.Now().Add(inForceWithin)
+	for _, v := range vms {
+		for v.Current().Version < version {
+			if time.Now().After(end) {
+				t.Fatalf("%s has version %d, not %d", v.name, v.Current().Version, version)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// The edits of a day come in a tenth of its time.
+func TestInForceAtTenTimesTheRateOfADay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 3)
+		defer stopAll(vms)
+		const changes = 3200
+		for i := range changes {
+			v := vms[i%len(vms)]
+			h, err := v.Apply(context.Background(), config.Edit{
+				BaseVersion: v.Current().Version, EditID: fmt.Sprint(i), Author: "eva", Reason: "day", TOML: document(fmt.Sprint(i)),
+			}, time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			expectInForce(t, vms, h.Version)
+			time.Sleep(24*time.Hour/10/changes - time.Since(start))
+		}
+		if kept, _, _ := s.List(context.Background(), "config"); len(kept) > config.MaxHistory+300 {
+			t.Fatalf("the store keeps %d records", len(kept))
+		}
+	})
+}
+
+func TestBurstIsInForceWhenTheWatcherDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 8)
+		defer stopAll(vms)
+		for i := range 20 {
+			v := vms[(2*i+1)%len(vms)]
+			for j := 0; ; j++ {
+				if _, err := v.edit(fmt.Sprint(i), fmt.Sprint(i)); err == nil {
+					break
+				} else if !fault.Is(err, fault.Conflict) || j > 3 {
+					t.Fatal(err)
+				}
+			}
+		}
+		vms[2].kill()
+		expectInForce(t, slices.Delete(slices.Clone(vms), 2, 3), 20)
+	})
+}
+
+// The data centres are cut off from each other, so that only the watches
+// spread the edit, and a watching VM dies just before it.
+func TestInForceByWatchWhenTheWatcherDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := &network{cut: func(a, b string) bool { return a != b }}, &kv{}
+		vms := fleet(n, s, 2)
+		defer stopAll(vms)
+		vms[2].kill()
+		vms[0].mustEdit(t, "x")
+		expectInForce(t, []*vm{vms[0], vms[1], vms[3]}, 1)
+	})
+}
+
+func TestOutageSpreadsByPeersAndRefusesEdits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 2)
+		defer func() { stopAll(vms) }()
+		vms[0].mustEdit(t, "x")
+		s.setDown(true)
+		expectInForce(t, vms, 1)
+		_, err := vms[0].edit("y", "y")
+		is.True(fault.Is(err, fault.StoreUnavailable))
+		fresh := n.add("dc-1-9", "dc-1", s)
+		err = fresh.Begin(context.Background())
+		is.True(strings.Contains(err.Error(), "neither the store nor a peer"))
+		vms = append(vms, fresh.start())
+		time.Sleep(2 * time.Second)
+		is.NoErr(fresh.Begin(context.Background()))
+		is.Equal(fresh.Current().Version, uint64(1))
+	})
+}
+
+func TestRestoredStoreLowersNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 2)
+		defer func() { stopAll(vms) }()
+		for i := range 3 {
+			vms[0].mustEdit(t, fmt.Sprint("before-", i))
+		}
+		old := s.copyOf()
+		for i := range 4 {
+			vms[0].mustEdit(t, fmt.Sprint("after-", i))
+		}
+		expectInForce(t, vms, 7)
+		s.restore(old)
+		time.Sleep(2 * time.Minute)
+		for _, v := range vms {
+			is.Equal(v.Current().Version, uint64(7))
+		}
+		is.True(vms[0].Meter.Count("alarm_config_version_lower") > 0)
+		// A fresh VM reads version 3 in the store and 7 at its peers.
+		fresh := n.add("dc-1-9", "dc-1", s)
+		vms = append(vms, fresh.start())
+		time.Sleep(2 * time.Second)
+		is.NoErr(fresh.Begin(context.Background()))
+		is.Equal(fresh.Current().Version, uint64(7))
+		h := fresh.mustEdit(t, "next")
+		is.Equal(h.Version, uint64(8))
+		expectInForce(t, vms, 8)
+		is.Equal(len(reasons(vms[0].Current().Document)), 8)
+		// What was written is whole: a VM with no peers reads it.
+		alone := (&network{}).add("alone", "dc-0", s)
+		is.NoErr(alone.Begin(context.Background()))
+		is.Equal(alone.Current().Document, fresh.Current().Document)
+	})
+}
+
+// An editor whose VM has seen less than a peer gets a number that no VM knows.
+func TestEditOnRestoredStoreTakesAFreshNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 2)
+		defer stopAll(vms)
+		vms[0].mustEdit(t, "one")
+		expectInForce(t, vms, 1)
+		old := s.copyOf()
+		vms[0].mustEdit(t, "two")
+		vms[0].mustEdit(t, "three")
+		s.restore(old)
+		time.Sleep(time.Second)
+		_, err := vms[3].Apply(context.Background(), config.Edit{BaseVersion: 1, EditID: "x", Author: "ola", Reason: "x", TOML: document("x")}, time.Now())
+		is.True(fault.Is(err, fault.Conflict))
+		h := vms[3].mustEdit(t, "four")
+		is.Equal(h.Version, uint64(4))
+		is.Equal(reasons(h.Document), []string{"one", "two", "three", "four"})
+	})
+}
+
+func TestLostAnswerIsResolved(t *testing.T) {
+	is := is.New(t)
+	lose := true
+	s := &kv{loseAnswer: func(string) bool { return lose }}
+	v, o := (&network{}).add("a", "dc", s), (&network{}).add("b", "dc", s)
+	h := v.mustEdit(t, "x")
+	is.Equal(h.Version, uint64(1))
+	// The answer is lost and the store is down: the outcome is unknown, and
+	// the same edit is accepted once, also after another one.
+	s.loseAnswer = func(key string) bool {
+		s.down = key == config.HeadKey
+		return key == config.HeadKey
+	}
+	_, err := v.edit("y", "y")
+	is.True(fault.Is(err, fault.ClaimUnresolved))
+	lose, s.loseAnswer = false, nil
+	s.setDown(false)
+	is.NoErr(o.Load(context.Background()))
+	o.mustEdit(t, "z")
+	h, err = v.edit("y", "y")
+	is.NoErr(err)
+	is.Equal(h.Version, uint64(3))
+	is.Equal(reasons(h.Document), []string{"x", "y", "z"})
+}
+
+func TestMoveOfAHomeTakesTwoEdits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, s := &network{}, &kv{}
+		vms := fleet(n, s, 1)
+		defer stopAll(vms)
+		apply := func(base uint64, home string) error {
+			_, err := vms[0].Apply(context.Background(), config.Edit{
+				BaseVersion: base, EditID: fmt.Sprint(base, home), Author: "eva", Reason: "move",
+				TOML: fmt.Sprintf("[[accounts]]\nid = \"counters\"\nhome = %q\n", home),
+			}, time.Now())
+			return err
+		}
+		is.NoErr(apply(0, "dc-0"))
+		is.True(fault.Is(apply(1, "dc-1"), fault.BadConfig))
+		is.NoErr(apply(1, ""))
+		is.True(fault.Is(apply(2, "dc-1"), fault.NotReady)) // The peer has version 0 still.
+		expectInForce(t, vms, 2)
+		time.Sleep(2 * time.Second)
+		is.NoErr(apply(2, "dc-1"))
+	})
+}
+
+func TestExceptionExpiresWithoutAnEdit(t *testing.T) {
+	is := is.New(t)
+	doc, err := config.Parse("f", []byte(`
+[[accounts]]
+id = "a"
+[[exceptions]]
+reason = "festival week"
+expires = 2026-08-01T00:00:00Z
+scope = { account = "a" }
+set = { queue_limit = 7 }
+[[exceptions]]
+reason = "slow link"
+scope = { data_centre = "dc" }
+set = { queue_limit = 9, retry_share = 0.5 }
+`))
+	is.NoErr(err)
+	end := time.Date(2026, 8, 1, 0, 0, 0, 0, time.UTC)
+	q := config.Scope{Account: "a", DataCentre: "dc"}
+	before, after := doc.Effective(q, end.Add(-time.Second)), doc.Effective(q, end)
+	is.Equal(before.QueueLimit, 7)
+	is.Equal(before.Sources[0].Reason, "festival week")
+	is.Equal(after.QueueLimit, 9)
+	is.Equal(after.RetryShare, 0.5)
+	is.Equal(after.Sources[0].Scope, config.Scope{DataCentre: "dc"})
+	is.Equal(doc.Effective(config.Scope{}, end).Sources[0].Reason, "")
+}
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -61,6 +61,11 @@
 
 	mu      sync.Mutex
 	workers []vmlist.VM
+
+	// listed is the platform's latest list of VMs.
+	listed atomic.Pointer[[]vmlist.VM]
+	// lacking says why the VM is not ready; nil when nothing is known.
+	lacking atomic.Pointer[string]
 }
 
 // New joins the duties; token is the operators' shared secret.
@@ -74,11 +79,11 @@
 	client := &http.Client{Transport: transport(s.Listen.Peers)}
 	d.store = &store.Client{BaseURL: platform, Meter: d.meter, HTTP: client}
 	d.vms = &vmlist.Client{BaseURL: platform, HTTP: client}
-	d.keeper = &config.Keeper{KV: d.store, Meter: d.meter, Log: log}
 	d.gossip = &gossip.Table{
 		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
 		Source: d.fillHeartbeat,
 	}
+	d.joinConfiguration()
 	d.joinWork()
 	d.joinListeners(token)
 	return d
@@ -121,11 +126,12 @@
 		Config: d.keeper.Current, Ready: d.Ready, Meter: d.meter,
 	}
 	c.Register(d.callers)
+	d.callers.GET("/readyz", d.readyz)
 	d.operators = jsonhttp.NewEcho(jsonhttp.Limits{}, d.meter)
 	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
 	o.Register(d.operators)
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk}))
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper}))
 	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: jsonhttp.DefaultReadTimeout}
 }
 
@@ -194,13 +200,13 @@
 // load reads the first configuration; the VM is not ready before.
 func (d *Daemon) load(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := d.keeper.Load(ctx)
+		err := d.keeper.Begin(ctx)
 		if err == nil {
 			d.loaded.Store(true)
 			d.log.Info("ready")
 			return
 		}
-		d.meter.Inc("config_load_retry")
+		d.notReady(err)
 		wait(ctx, loadRetryDelay)
 	}
 }
@@ -242,6 +248,7 @@
 		}
 	}
 	d.gossip.Addresses(peers)
+	d.setTargets(a.VMs)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
 	d.mu.Lock()
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -141,12 +141,14 @@
 	d := toml.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return s, problemsOf(file, err)
+		return s, DecodeProblems(file, err, Names())
 	}
 	return s, nil
 }
 
-func problemsOf(file string, err error) []Problem {
+// DecodeProblems returns the problems of a TOML file that could not be decoded;
+// accepted names the known keys.
+func DecodeProblems(file string, err error, accepted []string) []Problem {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
 		var ps []Problem
@@ -154,7 +156,7 @@
 			line, _ := e.Position()
 			ps = append(ps, Problem{
 				File: file, Line: line, Field: strings.Join(e.Key(), "."),
-				Message: "is not a setting", Accepted: strings.Join(Names(), ", "),
+				Message: "is not a known key", Accepted: strings.Join(accepted, ", "),
 			})
 		}
 		return ps
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"crypto/subtle"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,10 +44,80 @@
 	Workers []vmlist.VM    `json:"workers"`
 }
 
+// Spread tells how far a version of the configuration has spread.
+type Spread struct {
+	Version uint64 `json:"version"`
+	// InForce and Behind name the VMs that can be reached.
+	InForce []string `json:"in_force"`
+	Behind  []string `json:"behind"`
+	// Unreachable names the listed VMs that were not heard of lately.
+	Unreachable []string `json:"unreachable"`
+}
+
+// Add adds a reachable VM that reports a version.
+func (s *Spread) Add(vm string, version uint64) {
+	if version >= s.Version {
+		s.InForce = append(s.InForce, vm)
+		return
+	}
+	s.Behind = append(s.Behind, vm)
+}
+
+// Status is what a VM says of itself.
+type Status struct {
+	VMID          string `json:"vm_id"`
+	DataCentre    string `json:"data_centre"`
+	Region        string `json:"region"`
+	Incarnation   string `json:"incarnation"`
+	StartedUnixMS int64  `json:"started_unix_ms"`
+	Ready         bool   `json:"ready"`
+	// Lacking says why the VM is not ready; empty when nothing is known.
+	Lacking       string `json:"lacking,omitempty"`
+	Draining      bool   `json:"draining"`
+	Planner       bool   `json:"planner"`
+	ConfigVersion uint64 `json:"config_version"`
+	// Peers is the number of live peers.
+	Peers int `json:"peers"`
+	// Alarms are the alarm counters that are not zero, by name.
+	Alarms []Counter `json:"alarms"`
+}
+
+// Counter is the value of one counter.
+type Counter struct {
+	Name  string `json:"name"`
+	Value int64  `json:"value"`
+}
+
+// Alarms returns the alarm counters that are not zero, sorted by name.
+func Alarms(counters map[string]int64) []Counter {
+	var alarms []Counter
+	for _, name := range slices.Sorted(maps.Keys(counters)) {
+		if strings.HasPrefix(name, "alarm_") && counters[name] != 0 {
+			alarms = append(alarms, Counter{name, counters[name]})
+		}
+	}
+	return alarms
+}
+
+// CheckBody is the body of a check of a configuration.
+type CheckBody struct {
+	// File names the document in messages; empty for none.
+	File string `json:"file,omitempty"`
+	TOML string `json:"toml"`
+}
+
+// Log is the answer to a read of the log of changes, the newest first.
+type Log struct {
+	Changes []config.Change `json:"changes"`
+}
+
 // Configuration edits the configuration.
 type Configuration interface {
 	Current() config.Head
+	Check(e config.Edit, now time.Time) (config.Document, error)
 	Apply(ctx context.Context, e config.Edit, now time.Time) (config.Head, error)
+	Effective(q config.Scope, now time.Time) config.Effective
+	History(ctx context.Context, limit int) ([]config.Change, error)
 }
 
 // View reads what the fleet is doing.
@@ -52,6 +125,8 @@
 	Fleet() Fleet
 	Targets() Targets
 	Accounts() []gang.AccountStatus
+	Spread(version uint64) Spread
+	Status() Status
 }
 
 // Server serves operators. Its fields are set before use.
@@ -69,6 +144,11 @@
 	e.GET("/metrics", s.metrics)
 	e.GET("/v1/config", s.viewConfig)
 	e.POST("/v1/config", s.applyConfig)
+	e.POST("/v1/config/check", s.checkConfig)
+	e.GET("/v1/config/effective", s.effective)
+	e.GET("/v1/config/log", s.log)
+	e.GET("/v1/config/spread", s.spread)
+	e.GET("/v1/daemon", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Status()) })
 	e.GET("/v1/fleet", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Fleet()) })
 	e.GET("/v1/targets", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Targets()) })
 	e.GET("/v1/accounts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Accounts()) })
@@ -93,16 +173,68 @@
 	return c.JSON(http.StatusOK, s.Config.Current())
 }
 
+func (s *Server) checkConfig(c echo.Context) error {
+	var in CheckBody
+	if err := jsonhttp.Decode(c, &in); err != nil {
+		return err
+	}
+	if _, err := s.Config.Check(config.Edit{File: in.File, TOML: in.TOML}, time.Now()); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) effective(c echo.Context) error {
+	q := config.Scope{
+		DataCentre: c.QueryParam("data_centre"), Account: c.QueryParam("account"),
+		Target: c.QueryParam("target"), Kind: c.QueryParam("kind"),
+	}
+	return c.JSON(http.StatusOK, s.Config.Effective(q, time.Now()))
+}
+
+func (s *Server) log(c echo.Context) error {
+	limit, err := number(c, "limit", DefaultLogLimit)
+	if err != nil {
+		return err
+	}
+	changes, err := s.Config.History(c.Request().Context(), int(min(limit, config.MaxHistory)))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, Log{Changes: changes})
+}
+
+// DefaultLogLimit is the number of changes that a read of the log returns.
+const DefaultLogLimit = 50
+
+func (s *Server) spread(c echo.Context) error {
+	version, err := number(c, "version", s.Config.Current().Version)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, s.View.Spread(version))
+}
+
+// number reads a query parameter; otherwise is its value when it is missing.
+func number(c echo.Context, name string, otherwise uint64) (uint64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fault.WithField(fault.BadRequest, name, "%q is not a whole number", text)
+	}
+	return n, nil
+}
+
 func (s *Server) applyConfig(c echo.Context) error {
 	var e config.Edit
 	if err := jsonhttp.Decode(c, &e); err != nil {
 		return err
 	}
-	required := []struct{ field, v string }{{"edit_id", e.EditID}, {"author", e.Author}, {"reason", e.Reason}}
-	for _, r := range required {
-		if strings.TrimSpace(r.v) == "" {
-			return fault.WithField(fault.BadRequest, r.field, "is missing")
-		}
+	if err := checkEdit(e); err != nil {
+		return err
 	}
 	h, err := s.Config.Apply(c.Request().Context(), e, time.Now())
 	if err != nil {
@@ -110,3 +242,19 @@
 	}
 	return c.JSON(http.StatusOK, h)
 }
+
+// maxFieldBytes bounds the texts that go with an edit.
+const maxFieldBytes = 1024
+
+func checkEdit(e config.Edit) error {
+	fields := []struct{ field, v string }{{"edit_id", e.EditID}, {"author", e.Author}, {"reason", e.Reason}}
+	for _, f := range fields {
+		if strings.TrimSpace(f.v) == "" {
+			return fault.WithField(fault.BadRequest, f.field, "is missing")
+		}
+		if len(f.v) > maxFieldBytes {
+			return fault.WithField(fault.BadRequest, f.field, "is over %d bytes", maxFieldBytes)
+		}
+	}
+	return nil
+}
--- a/internal/peer/serve/serve.go
+++ b/internal/peer/serve/serve.go
@@ -19,6 +19,7 @@
 	Gossip  *gossip.Table
 	Planner job.Planner
 	Desk    *job.Desk
+	Config  Configuration
 }
 
 // Heartbeat takes a peer's heartbeat and answers with this VM's own.
