--- a/internal/control/config/keeper_test.go
+++ b/internal/control/config/keeper_test.go
@@ -306,3 +306,38 @@
 	is.Equal(after.Sources[0].Scope, config.Scope{DataCentre: "dc"})
 	is.Equal(doc.Effective(config.Scope{}, end).Sources[0].Reason, "")
 }
+
+// Old sections are removed while an edit that will be accepted has written its
+// section but not yet the head.
+func TestRemovalSparesAPendingEdit(t *testing.T) {
+	is := is.New(t)
+	s, n := &kv{}, &network{}
+	a, b := n.add("a", "dc", s), n.add("b", "dc", s)
+	written, removed, done := make(chan bool), make(chan bool), make(chan error)
+	b.KV = &hooked{s, func(call, key string) {
+		if call == "put" && key == config.HeadKey {
+			close(written)
+			<-removed
+		}
+	}}
+	a.KV = &hooked{s, func(call, key string) {
+		if call == "list" && key == "config" {
+			go func() {
+				_ = b.Load(context.Background())
+				_, err := b.edit("pending", "pending")
+				done <- err
+			}()
+			<-written
+		}
+	}}
+	for i := range 64 {
+		a.mustEdit(t, fmt.Sprint(i))
+	}
+	close(removed)
+	is.NoErr(<-done)
+	fresh := n.add("c", "dc", s)
+	is.NoErr(fresh.Load(context.Background()))
+	is.Equal(fresh.Current().Version, uint64(65))
+	sections, _, _ := s.List(context.Background(), "config/sections/")
+	is.True(len(sections) < 10)
+}
--- a/internal/control/config/support_test.go
+++ b/internal/control/config/support_test.go
@@ -285,3 +285,19 @@
 	}
 	return h
 }
+
+// hooked is a store whose calls can be held up.
+type hooked struct {
+	*kv
+	before func(call, key string)
+}
+
+func (h *hooked) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	h.before("list", prefix)
+	return h.kv.List(ctx, prefix)
+}
+
+func (h *hooked) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error) {
+	h.before("put", key)
+	return h.kv.Put(ctx, key, value, ifRevision)
+}
