--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/dispatch"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/drain"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/planner"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -77,7 +78,7 @@
 	d.keeper = &config.Keeper{KV: d.store, Meter: d.meter, Log: log}
 	d.gossip = &gossip.Table{
 		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
-		Source: d.fillHeartbeat,
+		Source: d.fillHeartbeat, Sink: d.takeHeartbeat,
 	}
 	d.joinWork()
 	d.joinListeners(token)
@@ -98,10 +99,7 @@
 
 func (d *Daemon) joinWork() {
 	records := &job.Records{Keeper: &record.Records{KV: d.store}}
-	d.dispatch = &dispatch.Dispatcher{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
-		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
-	}
+	d.dispatch = d.newDispatcher(&claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString})
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Meter: d.meter, Log: d.log,
@@ -118,7 +116,7 @@
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
 		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
-		Config: d.keeper.Current, Ready: d.Ready, Meter: d.meter,
+		Config: d.keeper.Current, Ready: d.Ready, Loaded: d.loaded.Load, Meter: d.meter,
 	}
 	c.Register(d.callers)
 	d.operators = jsonhttp.NewEcho(jsonhttp.Limits{}, d.meter)
@@ -144,6 +142,7 @@
 	hb.From = proto.CloneOf(d.self)
 	hb.From.Leaving = d.draining.Load()
 	hb.ConfigVersion = d.keeper.Current().Version
+	d.fillRequests(hb)
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -156,6 +155,7 @@
 		return err
 	}
 	d.refreshTargets(duties)
+	go d.dispatch.Run(duties)
 	go d.load(duties)
 	go d.gossip.Run(duties)
 	go d.keeper.Run(duties)
@@ -229,6 +229,7 @@
 	}
 	var runners, workers []vmlist.VM
 	var peers []string
+	var entries []vmlist.VM
 	for _, vm := range a.VMs {
 		switch vm.Role {
 		case vmlist.Runner:
@@ -239,9 +240,11 @@
 			}
 		case vmlist.Entry:
 			peers = append(peers, vm.Address)
+			entries = append(entries, vm)
 		}
 	}
 	d.gossip.Addresses(peers)
+	d.dispatch.SetEntryVMs(entries)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
 	d.mu.Lock()
@@ -251,19 +254,13 @@
 
 // drain stops as planned.
 func (d *Daemon) drain() error {
-	d.log.Info("stopping")
-	d.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainTimeout.Duration)
-	defer cancel()
-	d.dispatch.Drain()
-	for _, e := range []*echo.Echo{d.callers, d.operators} {
-		if err := e.Server.Shutdown(ctx); err != nil {
-			return fault.Wrap(fault.Internal, err, "shut down")
-		}
+	p := drain.Plan{
+		Log: d.log, Timeout: d.settings.Limits.DrainTimeout.Duration,
+		Leave:     func() { d.draining.Store(true) },
+		Requests:  d.dispatch,
+		Listeners: []drain.Listener{d.callers.Server, d.operators.Server, d.peers},
 	}
-	_ = d.peers.Shutdown(ctx)
-	d.log.Info("stopped")
-	return nil
+	return p.Run()
 }
 
 // Fleet returns the fleet as this VM sees it.
--- /dev/null
+++ b/internal/control/daemon/requests.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/dispatch"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+)
+
+// newDispatcher joins the duties that serve requests.
+func (d *Daemon) newDispatcher(claims dispatch.Claimer) *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		VM: d.settings.VMID, DataCentre: d.settings.DataCentre, Region: d.settings.Region,
+		Config: d.keeper.Current, Claims: claims, Meter: d.meter, Log: d.log, Peers: d.reports,
+		LocalAddr: sourceAddress(d.settings.Listen.Peers),
+	}
+}
+
+// sourceAddress returns the IP address of a listener as the source of
+// connections, or nil when the listener has none of its own.
+func sourceAddress(listener string) net.Addr {
+	ap, err := netip.ParseAddrPort(listener)
+	if err != nil || ap.Addr().IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
+}
+
+// fillRequests adds the demand and the leaving targets to a heartbeat.
+func (d *Daemon) fillRequests(hb *peerv1.HeartbeatRequest) {
+	for _, r := range d.dispatch.Demand() {
+		hb.Demand = append(hb.Demand, &peerv1.Demand{
+			DataCentre: d.settings.DataCentre, Service: r.Service, ClientAccount: r.Account,
+			Waiting: int32(r.Waiting), Running: int32(r.Running),
+		})
+	}
+	for id, seen := range d.dispatch.Leaving() {
+		hb.Leaving = append(hb.Leaving, &peerv1.LeavingTarget{TargetId: id, SeenUnixMs: seen.UnixMilli()})
+	}
+}
+
+// takeHeartbeat takes the leaving targets that a peer has seen.
+func (d *Daemon) takeHeartbeat(hb *peerv1.HeartbeatRequest) {
+	for _, t := range hb.GetLeaving() {
+		d.dispatch.MarkLeaving(t.GetTargetId(), time.UnixMilli(t.GetSeenUnixMs()))
+	}
+}
+
+// reports returns the demand that the live peers reported.
+func (d *Daemon) reports() []dispatch.Report {
+	var all []dispatch.Report
+	for _, p := range d.gossip.Live() {
+		r := dispatch.Report{VM: p.VM.GetVmId(), DataCentre: p.VM.GetDataCentre(), Leaving: p.VM.GetLeaving()}
+		for _, row := range p.State.GetDemand() {
+			if row.GetService() == "" {
+				continue
+			}
+			r.Rows = append(r.Rows, dispatch.DemandRow{
+				Service: row.GetService(), Account: row.GetClientAccount(),
+				Waiting: int(row.GetWaiting()), Running: int(row.GetRunning()),
+			})
+		}
+		all = append(all, r)
+	}
+	return all
+}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -1,11 +1,21 @@
-// Package dispatch carries requests from the callers' listener to the runners:
-// check, claim, queue, route, send, match, answer.
+// Package dispatch carries requests from the callers' listener to the runners
+// through a pipeline of filters: intake, check, claim, queue, route, send,
+// match, answer.
+//
+// Each duty has its goroutine, joined to the next by a bounded channel: Run's
+// scheduler owns the queue and the choice of runners, the matcher gives
+// answers to the requests that they name, and every attempt has one goroutine
+// while it uses a connection. Check and claim run on the goroutine of the
+// caller, which otherwise only waits for the outcome. A full ring refuses the
+// request as overloaded.
 package dispatch
 
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -14,7 +24,6 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 	"github.com/dogwoodworks/dogwoodworks/internal/target/runner"
 )
 
@@ -47,226 +56,283 @@
 	Abandon(ctx context.Context, t *claim.Ticket)
 }
 
-// Dispatcher serves requests. Its exported fields are set before use.
+// Dispatcher serves requests. Its exported fields are set before use, and Run
+// has to be called.
 type Dispatcher struct {
+	VM         string
 	DataCentre string
+	Region     string
 	Config     func() config.Head
 	Claims     Claimer
 	Meter      *meter.Meter
 	Log        *slog.Logger
+	// Peers returns the reports of the live VMs without this one; nil when
+	// there are none.
+	Peers func() []Report
+	// LocalAddr is the source of the connections to runners; nil for any.
+	LocalAddr net.Addr
+
+	once    sync.Once
+	intake  chan *call
+	cancels chan *call
+	events  chan runner.Event
+	settled chan runner.Event
+	orders  chan func(*scheduler)
+	ended   chan struct{}
+	matcher matcher
 
 	mu      sync.Mutex
-	targets map[string]*target
 	drained bool
-	active  sync.WaitGroup
+	active  map[*call]struct{}
+	idle    chan struct{}
+	runners []route.Runner
+	demand  []DemandRow
+	leaving map[string]time.Time
+	// known holds the listed runners; nil before the first list.
+	known map[string]*target
 }
 
-type target struct {
-	vm     vmlist.VM
-	client *runner.Client
-	state  route.Runner
+const (
+	// ringCapacity bounds the requests that one VM has at once.
+	ringCapacity = 4096
+	// orderCapacity bounds the orders that wait for the scheduler.
+	orderCapacity = 256
+	// endGrace is the time after the deadline in which the caller's own
+	// goroutine ends the request, before its attempts end by themselves.
+	endGrace = time.Second
+	// recordGrace is the time after the deadline in which the answer to a
+	// claimed request is still awaited, so that its result can be recorded.
+	recordGrace = 30 * time.Second
+)
+
+func (d *Dispatcher) start() {
+	d.once.Do(func() {
+		d.intake = make(chan *call, ringCapacity)
+		d.cancels = make(chan *call, ringCapacity)
+		d.events = make(chan runner.Event, ringCapacity)
+		d.settled = make(chan runner.Event, ringCapacity)
+		d.orders = make(chan func(*scheduler), orderCapacity)
+		d.ended = make(chan struct{})
+		d.active = make(map[*call]struct{})
+		d.leaving = make(map[string]time.Time)
+	})
 }
 
-const maxAttempts = 4
+// Run runs the duties until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	d.start()
+	defer close(d.ended)
+	var duties sync.WaitGroup
+	duties.Go(func() { d.match(ctx) })
+	duties.Go(func() { newScheduler(d).run(ctx) })
+	duties.Wait()
+}
 
 // Do serves one request. The kind of its error tells whether it may have run.
 func (d *Dispatcher) Do(ctx context.Context, r Request) (Answer, error) {
-	kind, err := d.check(&r)
+	d.start()
+	c, err := d.check(r)
 	if err != nil {
 		return Answer{}, err
 	}
-	if !d.begin() {
-		return Answer{}, fault.New(fault.Draining, "this VM is stopping")
+	if err := d.begin(c); err != nil {
+		return Answer{}, err
 	}
-	defer d.active.Done()
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	if kind.Idempotent {
-		return d.send(ctx, r, kind)
+	if c.kind.Idempotent {
+		defer d.finish(c)
+		return d.serve(ctx, c)
 	}
-	return d.sendClaimed(ctx, r, kind)
+	return d.serveClaimed(ctx, c)
 }
 
-func (d *Dispatcher) begin() bool {
+// begin counts an active request.
+func (d *Dispatcher) begin(c *call) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.drained {
-		return false
+		return fault.New(fault.Draining, "this VM is stopping")
+	}
+	if len(d.active) >= ringCapacity {
+		return fault.New(fault.Overloaded, "%d requests are being served", ringCapacity)
 	}
-	d.active.Add(1)
-	return true
+	d.active[c] = struct{}{}
+	return nil
 }
 
-// Drain refuses new requests and waits for those in flight.
-func (d *Dispatcher) Drain() {
+func (d *Dispatcher) finish(c *call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.active, c)
+	if len(d.active) == 0 && d.idle != nil {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+// Drain refuses new requests and waits for those that are queued or in flight.
+// When ctx ends first, it refuses those that were not sent, and returns an
+// error when others are still in flight.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.start()
 	d.mu.Lock()
 	d.drained = true
+	if len(d.active) == 0 {
+		d.mu.Unlock()
+		return nil
+	}
+	idle := make(chan struct{})
+	d.idle = idle
 	d.mu.Unlock()
-	d.active.Wait()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+	}
+	d.refuseUnsent()
+	return fault.Wrap(fault.Internal, ctx.Err(), "requests are still in flight")
 }
 
-func (d *Dispatcher) check(r *Request) (config.Kind, error) {
+func (d *Dispatcher) refuseUnsent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.active {
+		c.refuseUnsent(fault.New(fault.Draining, "this VM is stopping"))
+	}
+}
+
+func (d *Dispatcher) check(r Request) (*call, error) {
 	head := d.Config()
 	kind, ok := head.Document.KindNamed(r.Kind)
 	if !ok || kind.Service == "" {
-		return kind, fault.WithField(fault.BadRequest, "kind", "%q is not a kind of request", r.Kind)
+		return nil, fault.WithField(fault.BadRequest, "kind", "%q is not a kind of request", r.Kind)
 	}
 	account, ok := head.Document.AccountNamed(r.Account)
 	if !ok {
-		return kind, fault.WithField(fault.BadRequest, "client_account", "%q is not known", r.Account)
+		return nil, fault.WithField(fault.BadRequest, "client_account", "%q is not known", r.Account)
 	}
 	if !kind.Idempotent && r.Key == "" {
-		return kind, fault.WithField(fault.KeyRequired, "Idempotency-Key", "is required for kind %q", r.Kind)
+		return nil, fault.WithField(fault.KeyRequired, "Idempotency-Key", "is required for kind %q", r.Kind)
 	}
 	if r.Home == "" {
 		r.Home = account.Home
 	}
+	now := time.Now()
 	if r.Deadline.IsZero() {
-		r.Deadline = time.Now().Add(head.Document.Defaults.RequestTimeout.Duration)
+		r.Deadline = now.Add(head.Document.Defaults.RequestTimeout.Duration)
 	}
-	return kind, nil
+	c := &call{r: r, kind: kind, arrived: now, done: make(chan struct{}), until: r.Deadline.Add(endGrace)}
+	if !kind.Idempotent {
+		c.until = r.Deadline.Add(recordGrace)
+	}
+	return c, nil
 }
 
-// sendClaimed sends a non-idempotent request under a claim.
-func (d *Dispatcher) sendClaimed(ctx context.Context, r Request, kind config.Kind) (Answer, error) {
-	digest := sha256.Sum256(append([]byte(r.Kind+"\x00"), r.Payload...))
-	t, recorded, err := d.Claims.Claim(ctx, claim.Request{
-		Account: r.Account, Key: r.Key, Home: r.Home, Digest: digest[:],
-	})
-	if err != nil {
+// serve takes a request through queue, route, send and match.
+func (d *Dispatcher) serve(ctx context.Context, c *call) (Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.r.Deadline)
+	defer cancel()
+	if err := d.submit(c); err != nil {
 		return Answer{}, err
 	}
-	if recorded != nil {
-		return Answer{RequestID: r.ID, Payload: recorded.Result, Recorded: true}, nil
+	select {
+	case <-c.done:
+	case <-d.ended:
+		c.giveUp(fault.Draining, "this VM has stopped")
+	case <-ctx.Done():
+		c.giveUp(reasonOf(ctx), "while waiting")
+		d.cancel(c)
 	}
-	a, err := d.send(ctx, r, kind)
-	// The record is written even when the caller has gone.
-	after := context.WithoutCancel(ctx)
-	switch {
-	case err == nil:
-		d.Claims.Finish(after, t, a.Payload)
-	case fault.Lookup(fault.KindOf(err)).Outcome == fault.NotRun:
-		d.Claims.Abandon(after, t)
-	}
-	return a, err
+	return c.outcome()
 }
 
-func (d *Dispatcher) send(ctx context.Context, r Request, kind config.Kind) (Answer, error) {
-	tried := make(map[string]bool)
-	var last error
-	sentOnce := false
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		t, err := d.place(ctx, kind.Service, tried)
-		if err != nil {
-			return Answer{}, worst(last, err, sentOnce)
-		}
-		a, err := t.client.Send(ctx, runner.Request{ID: r.ID, Attempt: attempt, Kind: r.Kind, Payload: r.Payload})
-		d.release(t)
-		if err == nil {
-			return Answer{RequestID: r.ID, Payload: a.Payload, Runner: t.vm.ID, Attempts: attempt}, nil
-		}
-		last = err
-		tried[t.vm.ID] = true
-		d.Meter.Inc("retry_" + string(fault.KindOf(err)))
-		if fault.Lookup(fault.KindOf(err)).Outcome == fault.Unknown {
-			sentOnce = true
-			if !kind.Idempotent {
-				return Answer{}, err
-			}
-		}
+func reasonOf(ctx context.Context) fault.Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.Deadline
 	}
-	return Answer{}, worst(last, last, sentOnce)
+	return fault.Cancelled
 }
 
-// worst returns an error whose kind is true of all attempts.
-func worst(last, err error, sentOnce bool) error {
-	if !sentOnce || fault.Lookup(fault.KindOf(err)).Outcome == fault.Unknown {
-		return err
+// submit hands a request to the scheduler.
+func (d *Dispatcher) submit(c *call) error {
+	select {
+	case d.intake <- c:
+		return nil
+	default:
+		return fault.New(fault.Overloaded, "the intake is full")
 	}
-	return fault.Wrap(fault.AnswerLost, last, "an attempt may have run")
 }
 
-const placeRetryDelay = 5 * time.Millisecond
-
-// place waits for a place at a runner.
-func (d *Dispatcher) place(ctx context.Context, service string, tried map[string]bool) (*target, error) {
-	for {
-		t, known := d.tryPlace(service, tried)
-		if t != nil {
-			return t, nil
-		}
-		if !known {
-			return nil, fault.New(fault.NoTarget, "no runner serves %q", service)
-		}
-		select {
-		case <-ctx.Done():
-			return nil, fault.Wrap(fault.Deadline, ctx.Err(), "waiting for a runner")
-		case <-time.After(placeRetryDelay):
-		}
+// cancel tells the scheduler that a request is finished. When the ring is full
+// the scheduler meets the finished request by itself.
+func (d *Dispatcher) cancel(c *call) {
+	select {
+	case d.cancels <- c:
+	default:
+		d.Meter.Inc("cancel_ring_full")
 	}
 }
 
-func (d *Dispatcher) tryPlace(service string, tried map[string]bool) (t *target, known bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var states []route.Runner
-	var candidates []*target
-	for _, t := range d.targets {
-		states = append(states, t.state)
-		candidates = append(candidates, t)
-		known = known || (t.state.Service == service && !tried[t.vm.ID])
+// serveClaimed serves a non-idempotent request under a claim.
+func (d *Dispatcher) serveClaimed(ctx context.Context, c *call) (Answer, error) {
+	digest := sha256.Sum256(append([]byte(c.r.Kind+"\x00"), c.r.Payload...))
+	claiming, cancel := context.WithDeadline(ctx, c.r.Deadline)
+	defer cancel()
+	t, recorded, err := d.Claims.Claim(claiming, claim.Request{
+		Account: c.r.Account, Key: c.r.Key, Home: c.r.Home, Digest: digest[:],
+	})
+	if err != nil {
+		d.finish(c)
+		return Answer{}, err
 	}
-	i := route.Pick(states, service, tried)
-	if i < 0 {
-		return nil, known
+	if recorded != nil {
+		d.finish(c)
+		return Answer{RequestID: c.r.ID, Payload: recorded.Result, Recorded: true}, nil
 	}
-	candidates[i].state.InUse++
-	return candidates[i], true
+	return d.serveTicket(ctx, c, t)
 }
 
-func (d *Dispatcher) release(t *target) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t.state.InUse--
-}
-
-// SetRunners replaces the list of runners.
-func (d *Dispatcher) SetRunners(vms []vmlist.VM) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.targets
-	d.targets = make(map[string]*target)
-	for _, vm := range vms {
-		t, ok := old[vm.ID]
-		if !ok || t.vm.Address != vm.Address {
-			t = &target{client: &runner.Client{Address: vm.Address, MaxConnections: vm.Connections, Meter: d.Meter}}
-			t.client.OnLeaving = func() { d.MarkLeaving(vm.ID) }
+func (d *Dispatcher) serveTicket(ctx context.Context, c *call, t *claim.Ticket) (Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.r.Deadline)
+	defer cancel()
+	if err := d.submit(c); err != nil {
+		c.refuseUnsent(err)
+	}
+	select {
+	case <-c.done:
+	case <-d.ended:
+		c.giveUp(fault.Draining, "this VM has stopped")
+	case <-ctx.Done():
+		if !c.refuseUnsent(fault.New(reasonOf(ctx), "before the request was sent")) {
+			// The answer is still awaited, so that a retry gets the result.
+			go func() { _, _ = d.record(context.WithoutCancel(ctx), c, t) }()
+			return Answer{}, fault.New(fault.AnswerLost, "the request was sent and has no answer yet")
 		}
-		t.vm = vm
-		t.state.ID, t.state.Service = vm.ID, vm.Service
-		t.state.DataCentre, t.state.Region = vm.DataCentre, vm.Region
-		t.state.Limit = vm.Slots
-		t.state.Leaving = t.state.Leaving || vm.Leaving
-		d.targets[vm.ID] = t
+		d.cancel(c)
 	}
+	// The outcome is recorded even when the caller has gone, but for an
+	// answer that waits for nothing.
+	return d.record(context.WithoutCancel(ctx), c, t)
 }
 
-// MarkLeaving stops new work at a runner.
-func (d *Dispatcher) MarkLeaving(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if t, ok := d.targets[id]; ok {
-		t.state.Leaving = true
+// record waits for the end of a claimed request and spends its ticket.
+func (d *Dispatcher) record(ctx context.Context, c *call, t *claim.Ticket) (Answer, error) {
+	defer d.finish(c)
+	timeout := time.NewTimer(time.Until(c.until))
+	defer timeout.Stop()
+	select {
+	case <-c.done:
+	case <-d.ended:
+		c.giveUp(fault.Draining, "this VM has stopped")
+	case <-timeout.C:
+		c.giveUp(fault.Deadline, "while waiting")
+		d.cancel(c)
 	}
-}
-
-// Runners returns the state of all runners.
-func (d *Dispatcher) Runners() []route.Runner {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	all := make([]route.Runner, 0, len(d.targets))
-	for _, t := range d.targets {
-		all = append(all, t.state)
+	a, err := c.outcome()
+	switch {
+	case err == nil:
+		d.Claims.Finish(ctx, t, a.Payload)
+	case fault.Lookup(fault.KindOf(err)).Outcome == fault.NotRun:
+		d.Claims.Abandon(ctx, t)
 	}
-	return all
+	return a, err
 }
--- /dev/null
+++ b/internal/control/dispatch/targets.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/queue"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/runner"
+)
+
+// target is one runner.
+type target struct {
+	vm     vmlist.VM
+	client *runner.Client
+	state  route.Runner
+	// pausedUntil ends the pause after the runner refused as busy.
+	pausedUntil time.Time
+}
+
+const (
+	// busyPause is the time without new work for a runner that was busy.
+	busyPause = 30 * time.Millisecond
+	// leavingExpiry is the time after which a sign of leaving is forgotten.
+	leavingExpiry = 10 * time.Minute
+)
+
+// post gives an order to the scheduler.
+func (d *Dispatcher) post(f func(*scheduler)) {
+	d.start()
+	select {
+	case d.orders <- f:
+	case <-d.ended:
+	}
+}
+
+// SetRunners replaces the list of runners.
+func (d *Dispatcher) SetRunners(vms []vmlist.VM) {
+	vms = slices.Clone(vms)
+	d.post(func(s *scheduler) { s.setRunners(vms) })
+}
+
+// SetEntryVMs replaces the list of entry VMs, this one included.
+func (d *Dispatcher) SetEntryVMs(vms []vmlist.VM) {
+	vms = slices.Clone(vms)
+	d.post(func(s *scheduler) { s.entries = vms })
+}
+
+// MarkLeaving stops new work at a runner that showed a sign of leaving at a time.
+func (d *Dispatcher) MarkLeaving(id string, seen time.Time) {
+	if time.Since(seen) > leavingExpiry {
+		return
+	}
+	d.start()
+	if d.addLeaving(id, seen) {
+		d.post(func(s *scheduler) { s.refreshLeaving() })
+	}
+}
+
+// addLeaving reports whether the sign is the first of a listed runner.
+func (d *Dispatcher) addLeaving(id string, seen time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first, leaves := d.leaving[id]
+	if _, listed := d.known[id]; !listed {
+		return false
+	}
+	if !leaves || seen.Before(first) {
+		d.leaving[id] = seen
+	}
+	if !leaves {
+		d.Meter.Inc("target_leaving")
+		d.Log.Info("target leaves", "target", id)
+	}
+	return !leaves
+}
+
+// list notes which runners are listed; one that is no longer forgets its signs
+// of leaving, so that its successor starts anew.
+func (d *Dispatcher) list(known map[string]*target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known = known
+	for id := range d.leaving {
+		if _, listed := known[id]; !listed {
+			delete(d.leaving, id)
+		}
+	}
+}
+
+// Leaving returns the targets that leave and when that was first seen.
+func (d *Dispatcher) Leaving() map[string]time.Time {
+	d.start()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make(map[string]time.Time, len(d.leaving))
+	for id, seen := range d.leaving {
+		if time.Since(seen) > leavingExpiry {
+			delete(d.leaving, id)
+			continue
+		}
+		all[id] = seen
+	}
+	return all
+}
+
+// Runners returns the state of all runners.
+func (d *Dispatcher) Runners() []route.Runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.runners)
+}
+
+func (s *scheduler) setRunners(vms []vmlist.VM) {
+	old := s.byID
+	s.byID = make(map[string]*target)
+	s.targets = nil
+	groups := make(map[string]string)
+	for _, vm := range vms {
+		t, ok := old[vm.ID]
+		if !ok || t.vm.Address != vm.Address {
+			t = s.newTarget(vm)
+		}
+		t.vm = vm
+		t.state.ID, t.state.Service = vm.ID, vm.Service
+		t.state.DataCentre, t.state.Region = vm.DataCentre, vm.Region
+		s.byID[vm.ID] = t
+		s.targets = append(s.targets, t)
+		groups[vm.ID] = vm.Service + "/" + vm.DataCentre
+	}
+	s.d.list(s.byID)
+	for _, vm := range vms {
+		if vm.Leaving {
+			s.d.addLeaving(vm.ID, time.Now())
+		}
+	}
+	for id, t := range old {
+		if s.byID[id] != t {
+			t.client.Close()
+		}
+	}
+	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].vm.ID < s.targets[j].vm.ID })
+	s.health.Set(groups)
+	s.refreshLeaving()
+	s.divideNew()
+	s.setLimits()
+	s.view()
+}
+
+func (s *scheduler) newTarget(vm vmlist.VM) *target {
+	c := &runner.Client{Address: vm.Address, Meter: s.d.Meter, Deliver: s.d.deliver, LocalAddr: s.d.LocalAddr}
+	c.OnLeaving = func() { s.d.MarkLeaving(vm.ID, time.Now()) }
+	return &target{client: c}
+}
+
+func (s *scheduler) refreshLeaving() {
+	leaving := s.d.Leaving()
+	for _, t := range s.targets {
+		_, t.state.Leaving = leaving[t.vm.ID]
+	}
+}
+
+// setLimits sets how much of each runner this VM may use.
+func (s *scheduler) setLimits() {
+	local, foreign := s.members()
+	slots := make(map[string]float64)
+	for _, t := range s.targets {
+		if t.vm.DataCentre == s.d.DataCentre {
+			t.client.SetLimit(route.LocalConnections(t.vm.Connections, len(local)))
+			t.state.Limit = s.division(t.vm.Service).Owned(t.vm.ID, t.vm.Slots)
+		} else {
+			t.client.SetLimit(route.ForeignConnections)
+			t.state.Limit = s.foreignLimit(t, foreign)
+		}
+		if !t.state.Leaving && !t.state.Ejected {
+			slots[t.vm.Service] += float64(t.state.Limit)
+		}
+	}
+	defaults := s.d.Config().Document.Defaults
+	for service, q := range s.queues {
+		q.Slots = slots[service]
+		q.Limit = defaults.QueueLimit
+		q.AgeingLimit = defaults.AgeingLimit.Duration
+		q.Weights = s.division(service).Weights()
+	}
+}
+
+// foreignLimit returns the requests that this VM may have at a runner of
+// another data centre: none while that data centre has requests waiting.
+func (s *scheduler) foreignLimit(t *target, foreign []string) int {
+	if s.waitingAt[t.vm.DataCentre+"/"+t.vm.Service] > 0 {
+		return 0
+	}
+	// The VMs that may cross are counted among all VMs outside the runner's
+	// data centre.
+	if !route.MayCross(t.vm.ID, t.vm.Connections, s.d.VM, s.outside(t.vm.DataCentre, foreign)) {
+		return 0
+	}
+	return route.ForeignConnections
+}
+
+// outside returns the entry VMs that are not in a data centre.
+func (s *scheduler) outside(dataCentre string, unlisted []string) []string {
+	all := slices.Clone(unlisted)
+	for _, vm := range s.entries {
+		if vm.DataCentre != dataCentre {
+			all = append(all, vm.ID)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// members returns the ids of the VMs of this data centre, listed or live, and
+// those of live VMs elsewhere that are not listed.
+func (s *scheduler) members() (local, foreign []string) {
+	local = []string{s.d.VM}
+	listed := make(map[string]bool)
+	for _, vm := range s.entries {
+		listed[vm.ID] = true
+		if vm.DataCentre == s.d.DataCentre {
+			local = append(local, vm.ID)
+		}
+	}
+	for _, p := range s.peers {
+		switch {
+		case p.DataCentre == s.d.DataCentre:
+			local = append(local, p.VM)
+		case !listed[p.VM]:
+			foreign = append(foreign, p.VM)
+		}
+	}
+	slices.Sort(local)
+	return slices.Compact(local), foreign
+}
+
+// states returns the runners of a service as the choice sees them.
+func (s *scheduler) states(service string, now time.Time) ([]route.Runner, []*target) {
+	var states []route.Runner
+	var targets []*target
+	for _, t := range s.targets {
+		if t.vm.Service != service {
+			continue
+		}
+		h := s.health.State(t.vm.ID, now)
+		t.state.Ejected, t.state.Probe, t.state.Suspect = h.Ejected, h.Probe, h.Suspect
+		state := t.state
+		if now.Before(t.pausedUntil) {
+			state.Limit = min(state.Limit, state.InUse)
+		}
+		states = append(states, state)
+		targets = append(targets, t)
+	}
+	return states, targets
+}
+
+// localWait returns the time until the waiting requests of a service have
+// left the queue for a runner of the own data centre.
+func (s *scheduler) localWait(q *queue.Queue, states []route.Runner) time.Duration {
+	slots := 0
+	for _, r := range states {
+		if r.DataCentre == s.d.DataCentre && !r.Leaving && !r.Ejected {
+			slots += r.Limit
+		}
+	}
+	if slots == 0 {
+		return math.MaxInt64
+	}
+	return q.Work() / time.Duration(slots)
+}
+
+// view renews what Runners returns.
+func (s *scheduler) view() {
+	all := make([]route.Runner, 0, len(s.targets))
+	for _, t := range s.targets {
+		all = append(all, t.state)
+	}
+	sort.Slice(all, func(i, j int) bool { return strings.Compare(all[i].ID, all[j].ID) < 0 })
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	s.d.runners = all
+}
--- /dev/null
+++ b/internal/decide/health/health.go
@@ -0,0 +1,147 @@
+// Package health decides which runners are ejected and when they are probed.
+package health
+
+import "time"
+
+const (
+	// evidenceNeeded is the number of failed connections that eject a runner.
+	evidenceNeeded = 3
+	// evidenceWindow is the time after which a failure is forgotten.
+	evidenceWindow = 30 * time.Second
+	// ejectableShare is the inverse of the largest part of a group that may be
+	// ejected at once.
+	ejectableShare = 3
+	// minProbeDelay and maxProbeDelay bound the time until a probe; it doubles
+	// with every failed one.
+	minProbeDelay = time.Second
+	maxProbeDelay = 30 * time.Second
+	// probeTimeout is the time after which an unfinished probe is forgotten.
+	probeTimeout = 30 * time.Second
+)
+
+// Failure is the failure of one connection to a runner.
+type Failure struct {
+	Connection uint64
+	// Fresh says that the attempt was the connection's first. A connection
+	// that goes silent after earlier use says nothing about the runner.
+	Fresh bool
+	// Answered says that the runner itself answered with a failure.
+	Answered bool
+	At       time.Time
+}
+
+// State says how a runner is to be used.
+type State struct {
+	// Ejected runners get no work except a probe.
+	Ejected bool
+	// Probe says that an ejected runner is due for one.
+	Probe bool
+	// Suspect runners would be ejected if fewer others were.
+	Suspect bool
+}
+
+type runner struct {
+	group    string
+	failures map[uint64]time.Time
+	ejected  bool
+	delay    time.Duration
+	probeAt  time.Time
+}
+
+// Tracker keeps the evidence about all runners. The zero value knows none. It
+// is not safe for concurrent use.
+type Tracker struct {
+	runners map[string]*runner
+	groups  map[string]int
+}
+
+// Set replaces the known runners; groups maps a runner's id to the group of
+// which at most a third is ejected.
+func (t *Tracker) Set(groups map[string]string) {
+	old := t.runners
+	t.runners = make(map[string]*runner, len(groups))
+	t.groups = make(map[string]int)
+	for id, g := range groups {
+		r, ok := old[id]
+		if !ok || r.group != g {
+			r = &runner{group: g}
+		}
+		t.runners[id] = r
+		t.groups[g]++
+	}
+	for _, r := range t.runners {
+		if r.ejected && t.ejectedOf(r.group) > t.groups[r.group]/ejectableShare {
+			r.ejected = false
+		}
+	}
+}
+
+func (t *Tracker) ejectedOf(group string) int {
+	n := 0
+	for _, r := range t.runners {
+		if r.ejected && r.group == group {
+			n++
+		}
+	}
+	return n
+}
+
+// Succeed forgets the failures of a runner and brings it back.
+func (t *Tracker) Succeed(id string) {
+	if r, ok := t.runners[id]; ok {
+		*r = runner{group: r.group}
+	}
+}
+
+// Fail adds evidence and reports whether the runner was ejected by it.
+func (t *Tracker) Fail(id string, f Failure) bool {
+	r, ok := t.runners[id]
+	if !ok || (!f.Fresh && !f.Answered) {
+		return false
+	}
+	if r.failures == nil {
+		r.failures = make(map[uint64]time.Time)
+	}
+	r.failures[f.Connection] = f.At
+	r.forget(f.At)
+	if r.ejected {
+		r.delay = min(2*r.delay, maxProbeDelay)
+		r.probeAt = f.At.Add(r.delay)
+		return false
+	}
+	if len(r.failures) < evidenceNeeded || t.ejectedOf(r.group) >= t.groups[r.group]/ejectableShare {
+		return false
+	}
+	r.ejected = true
+	r.delay = minProbeDelay
+	r.probeAt = f.At.Add(r.delay)
+	return true
+}
+
+func (r *runner) forget(now time.Time) {
+	for c, at := range r.failures {
+		if now.Sub(at) > evidenceWindow {
+			delete(r.failures, c)
+		}
+	}
+}
+
+// Probing says that a probe of an ejected runner has begun.
+func (t *Tracker) Probing(id string, now time.Time) {
+	if r, ok := t.runners[id]; ok {
+		r.probeAt = now.Add(probeTimeout)
+	}
+}
+
+// State returns the state of a runner.
+func (t *Tracker) State(id string, now time.Time) State {
+	r, ok := t.runners[id]
+	if !ok {
+		return State{}
+	}
+	if r.ejected {
+		return State{Ejected: true, Probe: !now.Before(r.probeAt)}
+	}
+	r.forget(now)
+	return State{Suspect: len(r.failures) >= evidenceNeeded}
+}
--- /dev/null
+++ b/internal/decide/queue/estimate.go
@@ -0,0 +1,53 @@
+package queue
+
+import "time"
+
+const (
+	// defaultCost is the service time of a kind that declares none.
+	defaultCost = time.Second
+	// estimateGain is the weight of one new service time in the estimate.
+	estimateGain = 0.05
+	// learntAfter is the number of service times after which an estimate goes
+	// before the declaration.
+	learntAfter = 5
+)
+
+type estimate struct {
+	mean  float64
+	count int
+}
+
+// Estimator learns the service time of each kind, since declared ones are
+// wrong. The zero value knows nothing.
+type Estimator struct {
+	kinds map[string]estimate
+}
+
+// Observe adds a service time.
+func (e *Estimator) Observe(kind string, took time.Duration) {
+	if e.kinds == nil {
+		e.kinds = make(map[string]estimate)
+	}
+	k := e.kinds[kind]
+	k.count++
+	gain := max(estimateGain, 1/float64(k.count))
+	k.mean += gain * (float64(took) - k.mean)
+	e.kinds[kind] = k
+}
+
+// Learnt returns the learnt service time, and false while too few are known.
+func (e *Estimator) Learnt(kind string) (time.Duration, bool) {
+	k := e.kinds[kind]
+	return max(time.Duration(k.mean), 1), k.count >= learntAfter
+}
+
+// Cost returns the expected service time of a kind that declares one.
+func (e *Estimator) Cost(kind string, declared time.Duration) time.Duration {
+	if learnt, ok := e.Learnt(kind); ok {
+		return learnt
+	}
+	if declared > 0 {
+		return declared
+	}
+	return defaultCost
+}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -1,55 +1,346 @@
-// Package queue orders waiting requests.
+// Package queue orders the waiting requests of one service: by class, then by
+// the share of the client account, with ageing.
+//
+// Shares follow start-time fair queueing (P. Goyal, H. M. Vin and H. Cheng,
+// "Start-time Fair Queueing", SIGCOMM 1996): every account has a virtual time
+// that advances by cost over weight, and the account with the lowest goes
+// first. Virtual times span the classes, so that an account that had more than
+// its share in one class gets less in the others.
 package queue
 
-import "time"
+import (
+	"container/list"
+	"math"
+	"time"
+)
+
+// Ranks is the number of classes.
+const Ranks = 3
+
+const (
+	// loadWindow is the time constant of the measured load of each class.
+	loadWindow = 10 * time.Second
+	// shareLag is the slot time for each guaranteed slot by which an account
+	// may trail the others before it is served regardless of class.
+	shareLag = time.Second
+	// agedShare is the part of the ageing limit after which an item goes first.
+	agedShare = 0.75
+	// admitShare is the part of the ageing limit that a new item may expect to wait.
+	admitShare = 0.6
+	// minFreeShare is the least part of the slots that a class is expected to get.
+	minFreeShare = 0.02
+)
 
 // Item is one waiting request.
 type Item struct {
+	// ID is unique in the queue.
 	ID      string
 	Account string
-	Service string
-	// Rank is the class's order; 0 goes first.
+	Kind    string
+	// Rank is the class's order, at least 0 and below Ranks; 0 goes first.
 	Rank     int
 	Arrived  time.Time
 	Deadline time.Time
-	// Cost is the expected service time.
+	// Cost is the expected service time. It is positive.
 	Cost time.Duration
 }
 
-// Queue orders items. The zero value is an empty queue.
+type account struct {
+	id      string
+	virtual float64
+	waiting int
+	lists   [Ranks]list.List
+	work    [Ranks]time.Duration
+}
+
+type place struct {
+	account *account
+	element *list.Element
+}
+
+// Queue orders items. The zero value is an empty queue without limits. It is
+// not safe for concurrent use.
 type Queue struct {
-	items []Item
+	// Limit bounds the number of items; 0 means no bound.
+	Limit int
+	// AgeingLimit is the longest wait of an item; 0 turns ageing off.
+	AgeingLimit time.Duration
+	// Slots is the number of requests that are served at once. The expected
+	// wait is not bounded while it is 0.
+	Slots float64
+	// Weights are the shares of the accounts in any one unit. An account that
+	// is not listed has the weight 1.
+	Weights map[string]float64
+
+	accounts map[string]*account
+	places   map[string]place
+	virtual  float64
+	work     [Ranks]time.Duration
+	load     [Ranks]float64
+	loadAt   time.Time
 }
 
 // Len returns the number of items.
-func (q *Queue) Len() int { return len(q.items) }
+func (q *Queue) Len() int { return len(q.places) }
 
-// Push adds an item.
-func (q *Queue) Push(it Item) { q.items = append(q.items, it) }
+// Waiting returns the number of items of each account that has any.
+func (q *Queue) Waiting() map[string]int {
+	all := make(map[string]int)
+	for id, a := range q.accounts {
+		if a.waiting > 0 {
+			all[id] = a.waiting
+		}
+	}
+	return all
+}
 
-// Pop removes and returns the item that goes first.
-func (q *Queue) Pop(_ time.Time) (Item, bool) {
-	if len(q.items) == 0 {
-		return Item{}, false
+// Push adds an item and returns the items that have to be refused because the
+// queue is too long: the latest of the account that is furthest over its share.
+func (q *Queue) Push(it Item, now time.Time) []Item {
+	q.observe(it, now)
+	q.insert(it, false)
+	var refused []Item
+	for q.overfull(it.Rank) {
+		victim, ok := q.pushOut(it.Rank)
+		if !ok {
+			break
+		}
+		refused = append(refused, victim)
+	}
+	return refused
+}
+
+// Return puts an admitted item back at the front of its class and account.
+func (q *Queue) Return(it Item) { q.insert(it, true) }
+
+func (q *Queue) insert(it Item, front bool) {
+	a := q.account(it.Account)
+	if a.waiting == 0 {
+		a.virtual = math.Max(a.virtual, q.virtual)
+	}
+	e := (*list.Element)(nil)
+	if front {
+		e = a.lists[it.Rank].PushFront(it)
+	} else {
+		e = a.lists[it.Rank].PushBack(it)
+	}
+	a.waiting++
+	a.work[it.Rank] += it.Cost
+	q.work[it.Rank] += it.Cost
+	q.places[it.ID] = place{account: a, element: e}
+}
+
+func (q *Queue) account(id string) *account {
+	if q.accounts == nil {
+		q.accounts = make(map[string]*account)
+		q.places = make(map[string]place)
+	}
+	a, ok := q.accounts[id]
+	if !ok {
+		a = &account{id: id, virtual: q.virtual}
+		q.accounts[id] = a
 	}
-	first := 0
-	for i, it := range q.items {
-		if it.Rank < q.items[first].Rank {
-			first = i
+	return a
+}
+
+// observe adds an arrival to the measured load of its class.
+func (q *Queue) observe(it Item, now time.Time) {
+	if !q.loadAt.IsZero() {
+		decay := math.Exp(-now.Sub(q.loadAt).Seconds() / loadWindow.Seconds())
+		for r := range q.load {
+			q.load[r] *= decay
 		}
 	}
-	it := q.items[first]
-	q.Remove(it.ID)
-	return it, true
+	q.loadAt = now
+	q.load[it.Rank] += it.Cost.Seconds() / loadWindow.Seconds()
+}
+
+// Wait returns the expected wait of a new item of a class.
+func (q *Queue) Wait(rank int) time.Duration {
+	if q.Slots <= 0 {
+		return 0
+	}
+	var ahead time.Duration
+	free := q.Slots
+	for r := 0; r <= rank; r++ {
+		ahead += q.work[r]
+		if r < rank {
+			free -= q.load[r]
+		}
+	}
+	free = math.Max(free, q.Slots*minFreeShare)
+	return time.Duration(float64(ahead) / free)
+}
+
+func (q *Queue) overfull(rank int) bool {
+	if q.Limit > 0 && q.Len() > q.Limit {
+		return true
+	}
+	if q.AgeingLimit <= 0 {
+		return false
+	}
+	return q.Wait(rank) > time.Duration(admitShare*float64(q.AgeingLimit))
+}
+
+// pushOut removes the latest item of the lowest class at or after rank, of the
+// account whose waiting work is the most for its weight.
+func (q *Queue) pushOut(rank int) (Item, bool) {
+	for r := Ranks - 1; r >= rank; r-- {
+		var worst *account
+		for _, a := range q.accounts {
+			if a.lists[r].Len() == 0 {
+				continue
+			}
+			if worst == nil || q.before(a, worst, -q.backlog(a, r), -q.backlog(worst, r)) {
+				worst = a
+			}
+		}
+		if worst != nil {
+			it := worst.lists[r].Back().Value.(Item)
+			q.Remove(it.ID)
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
+func (q *Queue) backlog(a *account, rank int) float64 {
+	return float64(a.work[rank]) / q.weight(a.id)
+}
+
+// before orders accounts by a figure, ties by id.
+func (q *Queue) before(a, b *account, x, y float64) bool {
+	if x != y {
+		return x < y
+	}
+	return a.id < b.id
+}
+
+func (q *Queue) weight(id string) float64 {
+	if w := q.Weights[id]; w > 0 {
+		return w
+	}
+	return 1
 }
 
 // Remove removes an item and reports whether it was there.
 func (q *Queue) Remove(id string) bool {
-	for i, it := range q.items {
-		if it.ID == id {
-			q.items = append(q.items[:i], q.items[i+1:]...)
-			return true
+	p, ok := q.places[id]
+	if !ok {
+		return false
+	}
+	it := p.element.Value.(Item)
+	p.account.lists[it.Rank].Remove(p.element)
+	p.account.waiting--
+	p.account.work[it.Rank] -= it.Cost
+	q.work[it.Rank] -= it.Cost
+	delete(q.places, id)
+	return true
+}
+
+// Pop removes and returns the item that goes first, and charges its cost to
+// its account.
+func (q *Queue) Pop(now time.Time) (Item, bool) {
+	it, ok := q.first(now)
+	if !ok {
+		return Item{}, false
+	}
+	a := q.accounts[it.Account]
+	q.virtual = math.Max(q.virtual, q.lowest().virtual)
+	q.Remove(it.ID)
+	a.virtual += it.Cost.Seconds() / q.weight(a.id)
+	return it, true
+}
+
+func (q *Queue) first(now time.Time) (Item, bool) {
+	if q.Len() == 0 {
+		return Item{}, false
+	}
+	if it, ok := q.aged(now); ok {
+		return it, true
+	}
+	if a := q.lowest(); q.highest()-a.virtual > shareLag.Seconds() {
+		for r := range a.lists {
+			if e := a.lists[r].Front(); e != nil {
+				return e.Value.(Item), true
+			}
+		}
+	}
+	for r := range Ranks {
+		if a := q.lowestOf(r); a != nil {
+			return a.lists[r].Front().Value.(Item), true
+		}
+	}
+	return Item{}, false
+}
+
+// aged returns the oldest item that has waited most of the ageing limit.
+func (q *Queue) aged(now time.Time) (Item, bool) {
+	if q.AgeingLimit <= 0 {
+		return Item{}, false
+	}
+	var oldest Item
+	found := false
+	since := now.Add(-time.Duration(agedShare * float64(q.AgeingLimit)))
+	for _, a := range q.accounts {
+		for r := range a.lists {
+			e := a.lists[r].Front()
+			if e == nil {
+				continue
+			}
+			it := e.Value.(Item)
+			if it.Arrived.After(since) {
+				continue
+			}
+			if !found || it.Arrived.Before(oldest.Arrived) || it.Arrived.Equal(oldest.Arrived) && it.ID < oldest.ID {
+				oldest, found = it, true
+			}
 		}
 	}
-	return false
+	return oldest, found
+}
+
+func (q *Queue) lowest() *account {
+	var low *account
+	for _, a := range q.accounts {
+		if a.waiting > 0 && (low == nil || q.before(a, low, a.virtual, low.virtual)) {
+			low = a
+		}
+	}
+	return low
+}
+
+func (q *Queue) lowestOf(rank int) *account {
+	var low *account
+	for _, a := range q.accounts {
+		if a.lists[rank].Len() > 0 && (low == nil || q.before(a, low, a.virtual, low.virtual)) {
+			low = a
+		}
+	}
+	return low
+}
+
+func (q *Queue) highest() float64 {
+	high := math.Inf(-1)
+	for _, a := range q.accounts {
+		if a.waiting > 0 {
+			high = math.Max(high, a.virtual)
+		}
+	}
+	return high
+}
+
+// Settle corrects the charge of a served item by the time that it took.
+func (q *Queue) Settle(it Item, took time.Duration) {
+	a := q.account(it.Account)
+	a.virtual += (took - it.Cost).Seconds() / q.weight(a.id)
+}
+
+// Work returns the expected service time of all items together.
+func (q *Queue) Work() time.Duration {
+	var sum time.Duration
+	for _, w := range q.work {
+		sum += w
+	}
+	return sum
 }
--- /dev/null
+++ b/internal/decide/route/divide.go
@@ -0,0 +1,244 @@
+package route
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+	"strconv"
+)
+
+// Demand is what one VM reported of one client account: the requests of a
+// service that wait or run there.
+type Demand struct {
+	VM      string
+	Account string
+	// Slots is the number of slots that the account could use. It is not negative.
+	Slots float64
+}
+
+// Division is one VM's part of the slots of a service in a data centre.
+type Division struct {
+	// Low and High bound the part of the unit interval that the VM owns; Low
+	// is inside, High is not.
+	Low, High float64
+	// Weights are the slots that each account may count on at this VM.
+	Weights map[string]float64
+}
+
+const (
+	// idleShare is the part of all slots that every VM has without demand.
+	idleShare = 0.01
+	// idleDemand stands for the demand of an account where it has none.
+	idleDemand = 0.5
+)
+
+// Divide divides slots among the VMs. Accounts get slots by weighted max-min
+// fairness over their total demand; a VM gets the parts of its accounts. All
+// VMs that know the same rows get parts that fit together. Members holds self.
+func Divide(self string, members []string, rows []Demand, weights map[string]float64, slots float64) Division {
+	members = append([]string(nil), members...)
+	sort.Strings(members)
+	total := totals(rows)
+	granted := fill(total, weights, slots)
+	parts := make(map[string]float64)
+	for _, r := range rows {
+		if total[r.Account] > 0 {
+			parts[r.VM] += granted[r.Account] * r.Slots / total[r.Account]
+		}
+	}
+	sum := 0.0
+	for _, m := range members {
+		parts[m] += math.Max(idleShare*slots, 1)
+		sum += parts[m]
+	}
+	d := Division{Weights: localWeights(self, rows, weights, granted, slots, len(members))}
+	low := 0.0
+	for _, m := range members {
+		high := low + parts[m]/sum
+		if m == self {
+			d.Low, d.High = low, high
+			if m == members[len(members)-1] {
+				d.High = 1
+			}
+		}
+		low = high
+	}
+	return d
+}
+
+func totals(rows []Demand) map[string]float64 {
+	total := make(map[string]float64)
+	for _, r := range rows {
+		total[r.Account] += r.Slots
+	}
+	return total
+}
+
+func weightOf(weights map[string]float64, id string) float64 {
+	if w := weights[id]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// fill shares slots by weighted max-min fairness: no account gets more than
+// its demand while another is short.
+func fill(demand, weights map[string]float64, slots float64) map[string]float64 {
+	granted := make(map[string]float64)
+	open := make(map[string]bool)
+	for id, n := range demand {
+		if n > 0 {
+			open[id] = true
+		}
+	}
+	for len(open) > 0 && slots > 0 {
+		sum := 0.0
+		for id := range open {
+			sum += weightOf(weights, id)
+		}
+		level := slots / sum
+		for id := range open {
+			if demand[id] <= level*weightOf(weights, id) {
+				granted[id] = demand[id]
+			}
+		}
+		closed := 0.0
+		count := 0
+		for id := range granted {
+			if open[id] {
+				delete(open, id)
+				closed += granted[id]
+				count++
+			}
+		}
+		slots -= closed
+		if count > 0 {
+			continue
+		}
+		for id := range open {
+			granted[id] = level * weightOf(weights, id)
+		}
+		break
+	}
+	return granted
+}
+
+func localWeights(self string, rows []Demand, weights, granted map[string]float64, slots float64, members int) map[string]float64 {
+	sum := 0.0
+	for id := range weights {
+		sum += weightOf(weights, id)
+	}
+	own := make(map[string]float64)
+	for _, r := range rows {
+		if r.VM == self {
+			own[r.Account] += r.Slots
+		}
+	}
+	total := totals(rows)
+	local := make(map[string]float64)
+	for id := range weights {
+		fair := slots * weightOf(weights, id) / sum
+		part := (own[id] + idleDemand) / (total[id] + idleDemand*float64(members))
+		local[id] = math.Max(granted[id], fair) * part
+	}
+	return local
+}
+
+// Point returns the place of a slot of a runner in the unit interval. It is
+// the same at every VM.
+func Point(runner string, slot int) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(runner))
+	_, _ = h.Write([]byte{'/'})
+	_, _ = h.Write([]byte(strconv.Itoa(slot)))
+	return float64(mix(h.Sum64())>>11) / (1 << 53)
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Settled is the number of divisions in a row that must give a slot to a VM
+// before it uses it, so that its former owner has heard of it.
+const Settled = 3
+
+// History holds the latest divisions, at most Settled of them. The zero value
+// owns no slot.
+type History struct {
+	latest []Division
+}
+
+// Add adds a division.
+func (h *History) Add(d Division) {
+	h.latest = append(h.latest, d)
+	if len(h.latest) > Settled {
+		h.latest = h.latest[1:]
+	}
+}
+
+// Weights returns the accounts' weights of the latest division.
+func (h *History) Weights() map[string]float64 {
+	if len(h.latest) == 0 {
+		return nil
+	}
+	return h.latest[len(h.latest)-1].Weights
+}
+
+// Owned returns the number of a runner's slots that all divisions give.
+func (h *History) Owned(runner string, slots int) int {
+	if len(h.latest) == 0 {
+		return 0
+	}
+	low, high := 0.0, 1.0
+	for _, d := range h.latest {
+		low, high = math.Max(low, d.Low), math.Min(high, d.High)
+	}
+	n := 0
+	for slot := range slots {
+		if p := Point(runner, slot); low <= p && p < high {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// foreignConnectionShare is the part of a runner's connections that VMs of
+	// other data centres share.
+	foreignConnectionShare = 0.25
+	// ForeignConnections is the number of connections to a runner of another
+	// data centre.
+	ForeignConnections = 2
+)
+
+// LocalConnections returns the number of connections that one of n VMs of the
+// runner's data centre may open. It leaves room for VMs that n misses.
+func LocalConnections(connections, n int) int {
+	own := float64(connections) * (1 - foreignConnectionShare)
+	return max(1, int(own)/(n+1))
+}
+
+// MayCross reports whether a VM is among those of other data centres that may
+// open connections to a runner.
+func MayCross(runner string, connections int, self string, foreign []string) bool {
+	allowed := int(float64(connections)*foreignConnectionShare) / (2 * ForeignConnections)
+	own := crossOrder(runner, self)
+	before := 0
+	for _, vm := range foreign {
+		if vm != self && crossOrder(runner, vm) < own {
+			before++
+		}
+	}
+	return before < allowed
+}
+
+func crossOrder(runner, vm string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(runner + "/" + vm))
+	return mix(h.Sum64())
+}
--- /dev/null
+++ b/internal/decide/route/retry.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Limits of the waits between attempts.
+const (
+	MinBackoff = 10 * time.Millisecond
+	MaxBackoff = 2 * time.Second
+	// backoffGrowth bounds a wait by a multiple of the one before.
+	backoffGrowth = 3
+)
+
+// Backoff returns the wait after one of the given length, decorrelated from
+// that of other requests: a random one between the minimum and three times the
+// last.
+func Backoff(last time.Duration, r *rand.Rand) time.Duration {
+	high := min(max(last*backoffGrowth, MinBackoff+1), MaxBackoff)
+	return MinBackoff + time.Duration(r.Int64N(int64(high-MinBackoff)))
+}
+
+const (
+	// budgetReserve is the number of retries that an account has at first.
+	budgetReserve = 3
+	// budgetLimit bounds the retries that an account may save up.
+	budgetLimit = 20
+)
+
+// Budget bounds the retries of one client account by a share of its successes,
+// so that a storm of retries cannot feed itself. The zero value allows a few.
+type Budget struct {
+	saved   float64
+	started bool
+}
+
+func (b *Budget) start() {
+	if !b.started {
+		b.saved, b.started = budgetReserve, true
+	}
+}
+
+// Succeed adds the share of one success.
+func (b *Budget) Succeed(share float64) {
+	b.start()
+	b.saved = min(b.saved+share, budgetLimit)
+}
+
+// Take takes one retry and reports whether there was one.
+func (b *Budget) Take() bool {
+	b.start()
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -1,6 +1,9 @@
-// Package route chooses the runner of a request.
+// Package route chooses the runner of a request, divides the slots of the
+// runners among the VMs of a data centre, and bounds and paces retries.
 package route
 
+import "time"
+
 // Runner is what the choice knows of a runner.
 type Runner struct {
 	ID         string
@@ -14,19 +17,122 @@
 	// Leaving and Ejected runners get no new work.
 	Leaving bool
 	Ejected bool
+	// Probe is set on an ejected runner that may get one request as a probe.
+	Probe bool
+	// Suspect runners get work only when no other has room.
+	Suspect bool
+}
+
+// Place is where a VM stands.
+type Place struct {
+	DataCentre string
+	Region     string
+}
+
+// Need is what a request needs from its runner.
+type Need struct {
+	Service string
+	// Tried names the runners that failed the request; others go first.
+	Tried map[string]bool
+	// LocalWait is the expected wait for a runner of the own data centre.
+	LocalWait time.Duration
+	// Bytes is the size of the request and its expected answer.
+	Bytes int
+	// MayProbe allows an ejected runner that is due for a probe.
+	MayProbe bool
+}
+
+// Costs of leaving the own data centre, as the wait that outweighs them.
+const (
+	// DataCentreCrossing is the cost of another data centre of the region.
+	DataCentreCrossing = 3 * time.Millisecond
+	// RegionCrossing is the cost of another region, without the bytes.
+	RegionCrossing = 250 * time.Millisecond
+	// BytesPerMillisecond is the number of bytes across regions that cost as
+	// much as a wait of one millisecond.
+	BytesPerMillisecond = 4 << 10
+)
+
+// Distance orders runners by locality.
+type Distance int
+
+// The distances, nearest first.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// DistanceTo returns the distance from a place to a runner.
+func (p Place) DistanceTo(r Runner) Distance {
+	if p.DataCentre == r.DataCentre {
+		return SameDataCentre
+	}
+	if p.Region == r.Region {
+		return SameRegion
+	}
+	return OtherRegion
 }
 
-// Pick returns the index of the least loaded runner that serves a service and
-// has room, or -1.
-func Pick(runners []Runner, service string, tried map[string]bool) int {
+// Crossing returns the wait that outweighs the way to a runner.
+func (n Need) Crossing(d Distance) time.Duration {
+	switch d {
+	case SameRegion:
+		return DataCentreCrossing
+	case OtherRegion:
+		return RegionCrossing + time.Duration(n.Bytes/BytesPerMillisecond)*time.Millisecond
+	}
+	return 0
+}
+
+// Pick returns the index of the runner for a request, or -1 when none that is
+// worth its way has room: the nearest, then sound before suspect, untried
+// before tried, and the one with the most room. A runner that is due for a
+// probe goes first.
+func Pick(runners []Runner, own Place, n Need) int {
 	best := -1
+	var least [3]int
 	for i, r := range runners {
-		if r.Service != service || r.Leaving || r.Ejected || r.InUse >= r.Limit || tried[r.ID] {
+		if r.Service != n.Service || r.Leaving {
+			continue
+		}
+		d := own.DistanceTo(r)
+		if d != SameDataCentre && n.LocalWait <= n.Crossing(d) {
+			continue
+		}
+		if r.Ejected {
+			if r.Probe && n.MayProbe && r.Limit > 0 && !n.Tried[r.ID] {
+				return i
+			}
+			continue
+		}
+		if r.InUse >= r.Limit {
 			continue
 		}
-		if best < 0 || r.InUse < runners[best].InUse {
-			best = i
+		order := [3]int{int(d), flaws(r, n), r.InUse - r.Limit}
+		if best < 0 || less(order, least) {
+			best, least = i, order
 		}
 	}
 	return best
 }
+
+func flaws(r Runner, n Need) int {
+	count := 0
+	if r.Suspect {
+		count++
+	}
+	if n.Tried[r.ID] {
+		count += 2
+	}
+	return count
+}
+
+func less(a, b [3]int) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -96,7 +96,10 @@
 	Config     func() config.Head
 	// Ready reports whether the VM takes new work.
 	Ready func() bool
-	Meter *meter.Meter
+	// Loaded reports whether the VM can serve requests. It still can for a
+	// while after a planned stop began and Ready has become false.
+	Loaded func() bool
+	Meter  *meter.Meter
 }
 
 // Register adds the callers' paths.
@@ -117,8 +120,8 @@
 }
 
 func (s *Server) request(c echo.Context) error {
-	if !s.Ready() {
-		return fault.New(fault.NotReady, "this VM takes no new work")
+	if !s.Loaded() {
+		return fault.New(fault.NotReady, "this VM has no configuration yet")
 	}
 	var in RequestBody
 	if err := jsonhttp.Decode(c, &in); err != nil {
@@ -135,6 +138,10 @@
 		r.Deadline = time.Now().Add(time.Duration(in.TimeoutMS) * time.Millisecond)
 	}
 	a, err := s.Requests.Do(c.Request().Context(), r)
+	if !s.Ready() {
+		// The caller's next request goes to another VM.
+		c.Response().Header().Set(echo.HeaderConnection, "close")
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -41,6 +41,21 @@
 	Leaving bool `json:"leaving"`
 	// LapseLeases lapses all leases at once.
 	LapseLeases bool `json:"lapse_leases"`
+	// LeavingHeader makes a runner say that it leaves while it still serves.
+	LeavingHeader bool `json:"leaving_header"`
+	// SlowMS prolongs the service time of every request at a runner.
+	SlowMS int64 `json:"slow_ms"`
+	// Late delays that many answers of a runner by LateMS after the effect.
+	Late   int   `json:"late"`
+	LateMS int64 `json:"late_ms"`
+	// CutShort closes the connection within that many answers of a runner.
+	CutShort int `json:"cut_short"`
+	// SilentAccept keeps that many requests unstarted on a silent connection.
+	SilentAccept int `json:"silent_accept"`
+	// SilentRequest runs that many requests and leaves their connections silent.
+	SilentRequest int `json:"silent_request"`
+	// SilentAnswer falls silent within that many answers.
+	SilentAnswer int `json:"silent_answer"`
 }
 
 // Set holds the current orders. The zero value is ready to use.
--- /dev/null
+++ b/internal/standin/runner/answer.go
@@ -0,0 +1,172 @@
+package runner
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/faults"
+	target "github.com/dogwoodworks/dogwoodworks/internal/target/runner"
+)
+
+// answer is what the runner answers to one attempt.
+type answer struct {
+	id      string
+	attempt string
+	payload []byte
+	leaving bool
+}
+
+// crossing exchanges two answers.
+type crossing struct {
+	first  answer
+	second chan answer
+}
+
+// crossTimeout bounds the wait for an answer to exchange with.
+const crossTimeout = 2 * time.Second
+
+// strayLinger is the time that a connection with a duplicated answer stays open.
+const strayLinger = 200 * time.Millisecond
+
+func (a answer) setHeader(h http.Header) {
+	h.Set(target.HeaderRequestID, a.id)
+	h.Set(target.HeaderAttempt, a.attempt)
+	h.Set(target.HeaderLength, strconv.Itoa(len(a.payload)))
+	h.Set(target.HeaderDigest, target.Digest(a.payload))
+	if a.leaving {
+		h.Set(target.HeaderLeaving, "true")
+	}
+}
+
+func (a answer) notStarted(c echo.Context, reason string) error {
+	a.setHeader(c.Response().Header())
+	c.Response().Header().Set(target.HeaderNotStarted, reason)
+	return c.NoContent(http.StatusServiceUnavailable)
+}
+
+// take counts a fault down and reports whether it is to be shown.
+func (r *Runner) take(field func(o *faults.Orders) *int) bool {
+	return r.Faults.Take(func(o *faults.Orders) bool { return faults.Countdown(field(o)) })
+}
+
+// silence keeps the connection open until the client closes it.
+func silence(c echo.Context) error {
+	<-c.Request().Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// answer writes an answer with the ordered faults.
+func (r *Runner) answer(c echo.Context, a answer) error {
+	a = r.cross(a)
+	a.setHeader(c.Response().Header())
+	if r.take(func(o *faults.Orders) *int { return &o.Late }) {
+		time.Sleep(time.Duration(r.Faults.Get().LateMS) * time.Millisecond)
+	}
+	switch {
+	case r.take(func(o *faults.Orders) *int { return &o.SilentRequest }):
+		return silence(c)
+	case r.take(func(o *faults.Orders) *int { return &o.SilentAnswer }):
+		if err := writeHalf(c, a); err != nil {
+			return err
+		}
+		return silence(c)
+	case r.take(func(o *faults.Orders) *int { return &o.CutShort }):
+		if err := writeHalf(c, a); err != nil {
+			return err
+		}
+		panic(http.ErrAbortHandler)
+	case r.take(func(o *faults.Orders) *int { return &o.Duplicate }):
+		return writeTwice(c, a)
+	case r.take(func(o *faults.Orders) *int { return &o.WrongDigest }):
+		c.Response().Header().Set(target.HeaderDigest, target.Digest(append(a.payload, '!')))
+	case r.take(func(o *faults.Orders) *int { return &o.Truncate }):
+		a.payload = a.payload[:len(a.payload)/2]
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, a.payload)
+}
+
+// cross exchanges this answer with the next one when that is ordered.
+func (r *Runner) cross(a answer) answer {
+	r.mu.Lock()
+	if x := r.crossing; x != nil {
+		r.crossing = nil
+		r.mu.Unlock()
+		x.second <- a
+		return x.first
+	}
+	ordered := r.Faults.Take(func(o *faults.Orders) bool {
+		was := o.Cross
+		o.Cross = false
+		return was
+	})
+	if !ordered {
+		r.mu.Unlock()
+		return a
+	}
+	x := &crossing{first: a, second: make(chan answer, 1)}
+	r.crossing = x
+	r.mu.Unlock()
+	select {
+	case other := <-x.second:
+		return other
+	case <-time.After(crossTimeout):
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crossing == x {
+		r.crossing = nil
+		return a
+	}
+	return <-x.second
+}
+
+// writeHalf writes the header and half of the payload.
+func writeHalf(c echo.Context, a answer) error {
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentLength, strconv.Itoa(len(a.payload)))
+	w.WriteHeader(http.StatusOK)
+	if _, err := w.Write(a.payload[:len(a.payload)/2]); err != nil {
+		return err
+	}
+	w.Flush()
+	return nil
+}
+
+// writeTwice writes a whole answer twice on the same connection.
+func writeTwice(c echo.Context, a answer) error {
+	conn, rw, err := c.Response().Hijack()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	for range 2 {
+		if err := writeRaw(rw.Writer, a); err != nil {
+			return err
+		}
+	}
+	time.Sleep(strayLinger)
+	return nil
+}
+
+func writeRaw(w *bufio.Writer, a answer) error {
+	h := make(http.Header)
+	a.setHeader(h)
+	h.Set(echo.HeaderContentLength, strconv.Itoa(len(a.payload)))
+	if _, err := w.WriteString("HTTP/1.1 200 OK\r\n"); err != nil {
+		return err
+	}
+	if err := h.Write(w); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if _, err := w.Write(a.payload); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -27,9 +26,13 @@
 	// ServiceTime is the time that one request takes.
 	ServiceTime time.Duration
 
-	mu      sync.Mutex
-	running int
-	starts  map[string]int
+	mu        sync.Mutex
+	running   int
+	seen      map[string]int
+	starts    map[string]int
+	payloads  map[string]int
+	lastStart time.Time
+	crossing  *crossing
 }
 
 // DefaultSlots is the number of requests that a runner serves at once.
@@ -43,51 +46,78 @@
 }
 
 // Starts returns how often each request id was started.
-func (r *Runner) Starts() map[string]int {
+func (r *Runner) Starts() map[string]int { return r.copy(&r.starts) }
+
+// Seen returns how often each request id arrived, started or not.
+func (r *Runner) Seen() map[string]int { return r.copy(&r.seen) }
+
+// Payloads returns how often each payload was started.
+func (r *Runner) Payloads() map[string]int { return r.copy(&r.payloads) }
+
+// LastStart returns the time of the latest start.
+func (r *Runner) LastStart() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := make(map[string]int, len(r.starts))
-	for id, n := range r.starts {
+	return r.lastStart
+}
+
+func (r *Runner) copy(m *map[string]int) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[string]int, len(*m))
+	for id, n := range *m {
 		all[id] = n
 	}
 	return all
 }
 
+func count(m *map[string]int, id string) {
+	if *m == nil {
+		*m = make(map[string]int)
+	}
+	(*m)[id]++
+}
+
 func (r *Runner) listStarts(c echo.Context) error {
 	return c.JSON(http.StatusOK, r.Starts())
 }
 
 func (r *Runner) run(c echo.Context) error {
 	in := c.Request().Header
-	out := c.Response().Header()
-	out.Set(target.HeaderRequestID, in.Get(target.HeaderRequestID))
-	out.Set(target.HeaderAttempt, in.Get(target.HeaderAttempt))
+	a := answer{id: in.Get(target.HeaderRequestID), attempt: in.Get(target.HeaderAttempt)}
 	o := r.Faults.Get()
-	if o.Leaving {
-		out.Set(target.HeaderLeaving, "true")
-		return notStarted(c, target.NotStartedLeaving)
-	}
 	payload, err := io.ReadAll(c.Request().Body)
 	if err != nil {
 		return err
 	}
-	if !r.begin(in.Get(target.HeaderRequestID)) {
-		return notStarted(c, target.NotStartedBusy)
+	r.see(a.id)
+	a.leaving = o.Leaving || o.LeavingHeader
+	if o.Leaving {
+		return a.notStarted(c, target.NotStartedLeaving)
+	}
+	if r.take(func(o *faults.Orders) *int { return &o.SilentAccept }) {
+		return silence(c)
 	}
-	defer r.end()
-	time.Sleep(r.ServiceTime)
+	if !r.begin(a.id, string(payload)) {
+		return a.notStarted(c, target.NotStartedBusy)
+	}
+	time.Sleep(r.ServiceTime + time.Duration(o.SlowMS)*time.Millisecond)
+	r.end()
 	if o.FailStarts {
+		a.setHeader(c.Response().Header())
 		return c.NoContent(http.StatusInternalServerError)
 	}
-	return r.answer(c, fmt.Appendf(nil, "%s: %s", r.ID, payload))
+	a.payload = fmt.Appendf(nil, "%s: %s", r.ID, payload)
+	return r.answer(c, a)
 }
 
-func notStarted(c echo.Context, reason string) error {
-	c.Response().Header().Set(target.HeaderNotStarted, reason)
-	return c.NoContent(http.StatusServiceUnavailable)
+func (r *Runner) see(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count(&r.seen, id)
 }
 
-func (r *Runner) begin(id string) bool {
+func (r *Runner) begin(id, payload string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slots := r.Slots
@@ -98,11 +128,10 @@
 		r.Meter.Inc("busy")
 		return false
 	}
-	if r.starts == nil {
-		r.starts = make(map[string]int)
-	}
 	r.running++
-	r.starts[id]++
+	r.lastStart = time.Now()
+	count(&r.starts, id)
+	count(&r.payloads, payload)
 	return true
 }
 
@@ -111,16 +140,3 @@
 	defer r.mu.Unlock()
 	r.running--
 }
-
-func (r *Runner) answer(c echo.Context, payload []byte) error {
-	out := c.Response().Header()
-	out.Set(target.HeaderLength, strconv.Itoa(len(payload)))
-	out.Set(target.HeaderDigest, target.Digest(payload))
-	if r.Faults.Take(func(o *faults.Orders) bool { return faults.Countdown(&o.WrongDigest) }) {
-		out.Set(target.HeaderDigest, target.Digest(append(payload, '!')))
-	}
-	if r.Faults.Take(func(o *faults.Orders) bool { return faults.Countdown(&o.Truncate) }) {
-		payload = payload[:len(payload)/2]
-	}
-	return c.Blob(http.StatusOK, echo.MIMEOctetStream, payload)
-}
--- a/internal/target/runner/runner.go
+++ b/internal/target/runner/runner.go
@@ -1,22 +1,20 @@
 // Package runner is the client of the runners, the targets that serve requests.
+//
+// It writes HTTP/1.1 on connections of its own instead of through
+// http.Transport, because it has to know whether a byte of an attempt was
+// written, to keep reading an attempt that was given up, and to read answers
+// that nobody asked for on a connection. Nothing is ever sent twice by itself.
 package runner
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net"
-	"net/http"
-	"net/http/httptrace"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 )
 
@@ -50,125 +48,238 @@
 	Attempt int
 	Kind    string
 	Payload []byte
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Allowance is the longest wait without progress on the connection;
+	// DefaultAllowance when 0.
+	Allowance time.Duration
 }
 
-// Answer is the whole answer to one attempt.
-type Answer struct {
-	RequestID string
-	Attempt   int
-	Payload   []byte
+// EventKind says what happened to an attempt.
+type EventKind string
+
+// The kinds of events.
+const (
+	// Answered carries the whole answer.
+	Answered EventKind = "answered"
+	// NotStarted means that the runner did not start the attempt.
+	NotStarted EventKind = "not_started"
+	// Unreachable means that no byte of the attempt was written.
+	Unreachable EventKind = "unreachable"
+	// Lost means that the connection ended without a whole answer.
+	Lost EventKind = "lost"
+	// BadAnswer means that an answer was not a whole and sound one.
+	BadAnswer EventKind = "bad_answer"
+	// Silent means that there was no progress for the allowance. The
+	// connection is still read.
+	Silent EventKind = "silent"
+	// Ended means that the attempt uses its connection no longer. It is the
+	// last event of every attempt.
+	Ended EventKind = "ended"
+)
+
+// Event tells what happened to the attempt that ID and Attempt name.
+type Event struct {
+	Kind    EventKind
+	ID      string
+	Attempt int
+	// Runner is the address of the runner.
+	Runner string
+	// Connection differs for every connection of the client.
+	Connection uint64
+	// Fresh says that the attempt was the first on its connection.
+	Fresh bool
+	// Crossed says that an answer came on the connection of another attempt.
+	Crossed bool
+	// Failed says that the runner answered with a failure of its own.
+	Failed  bool
+	Payload []byte
+	Reason  string
+	Err     error
 }
 
 // Client sends attempts to one runner. It is safe for concurrent use.
 type Client struct {
 	// Address is the runner's IP address and port.
 	Address string
-	// MaxConnections bounds the connections that this VM opens to the runner.
-	MaxConnections int
-	Meter          *meter.Meter
-	// Silence is the longest wait without progress on a connection.
-	Silence time.Duration
+	Meter   *meter.Meter
+	// Deliver takes the events of all attempts, and answers that nobody waits
+	// for. It must not block for long.
+	Deliver func(Event)
 	// OnLeaving is called when an answer says that the runner leaves.
 	OnLeaving func()
+	// LocalAddr is the source of the connections; nil for any.
+	LocalAddr net.Addr
 
-	once      sync.Once
-	transport *http.Transport
+	mu     sync.Mutex
+	limit  int
+	open   map[*connection]struct{}
+	idle   []*connection
+	next   uint64
+	closed bool
 }
 
-// DefaultSilence bounds the wait on a connection without progress.
-const DefaultSilence = 30 * time.Second
+// DefaultAllowance bounds the wait on a connection without progress.
+const DefaultAllowance = 30 * time.Second
 
 const dialTimeout = 2 * time.Second
 
-func (c *Client) roundTripper() *http.Transport {
-	c.once.Do(func() {
-		d := net.Dialer{Timeout: dialTimeout}
-		c.transport = &http.Transport{
-			DialContext:         d.DialContext,
-			MaxConnsPerHost:     c.MaxConnections,
-			MaxIdleConnsPerHost: c.MaxConnections,
-			DisableCompression:  true,
-		}
-	})
-	return c.transport
+var errNoConnection = errors.New("all connections of this VM to the runner are in use")
+
+// SetLimit bounds the connections that this VM opens to the runner.
+func (c *Client) SetLimit(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = n
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.roundTripper().CloseIdleConnections() }
+// Connections returns the number of open connections.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
 
-// Send sends one attempt and waits for its answer.
-//
-// The error is of kind NotStarted when the runner said that it did not start
-// the attempt, Unreachable when no byte was sent, BadAnswer when an answer was
-// not the whole answer to this attempt, and AnswerLost otherwise.
-func (c *Client) Send(ctx context.Context, r Request) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.silence())
-	defer cancel()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+RunPath, bytes.NewReader(r.Payload))
+// Close closes idle connections; those in use are closed when they end.
+func (c *Client) Close() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle, c.closed = nil, true
+	c.mu.Unlock()
+	for _, conn := range idle {
+		conn.close()
+	}
+}
+
+// Send sends one attempt and reads until its connection is free or ctx ends.
+// What happens is told by events, the last of which is Ended.
+func (c *Client) Send(ctx context.Context, r Request) {
+	conn, err := c.acquire(ctx, r.Fresh)
 	if err != nil {
-		return Answer{}, fault.Wrap(fault.Unreachable, err, "build request")
-	}
-	// The transport must not send an attempt again by itself.
-	req.GetBody = nil
-	req.Header.Set(HeaderRequestID, r.ID)
-	req.Header.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
-	req.Header.Set(HeaderKind, r.Kind)
-	resp, err := c.roundTripper().RoundTrip(req)
+		c.Meter.Inc("runner_unreachable")
+		e := Event{Kind: Unreachable, ID: r.ID, Attempt: r.Attempt, Runner: c.Address, Err: err}
+		if conn != nil {
+			e.Connection, e.Fresh = conn.id, true
+		}
+		c.Deliver(e)
+		c.Deliver(Event{Kind: Ended, ID: r.ID, Attempt: r.Attempt, Runner: c.Address})
+		return
+	}
+	a := attempt{client: c, conn: conn, r: r, fresh: conn.uses == 0}
+	conn.uses++
+	reusable := a.run(ctx)
+	c.release(conn, reusable)
+	c.Deliver(a.event(Ended))
+}
+
+// acquire returns an idle connection or opens one. With an error it returns the
+// connection that could not be opened, or nil when none may be opened.
+func (c *Client) acquire(ctx context.Context, fresh bool) (*connection, error) {
+	for !fresh {
+		conn := c.takeIdle()
+		if conn == nil {
+			break
+		}
+		if conn.resume() {
+			return conn, nil
+		}
+		conn.close()
+	}
+	conn, err := c.reserve()
 	if err != nil {
-		return Answer{}, c.sendError(err, sent.Load())
+		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(HeaderLeaving) != "" && c.OnLeaving != nil {
-		c.OnLeaving()
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: c.LocalAddr}
+	conn.Conn, err = d.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		c.forget(conn)
+		return conn, err
 	}
-	return readAnswer(resp, r)
+	conn.start()
+	return conn, nil
 }
 
-func (c *Client) silence() time.Duration {
-	if c.Silence == 0 {
-		return DefaultSilence
+func (c *Client) takeIdle() *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) == 0 {
+		return nil
 	}
-	return c.Silence
+	conn := c.idle[len(c.idle)-1]
+	c.idle = c.idle[:len(c.idle)-1]
+	return conn
 }
 
-func (c *Client) sendError(err error, sent bool) error {
-	if !sent {
-		c.Meter.Inc("runner_unreachable")
-		return fault.Wrap(fault.Unreachable, err, "runner %s", c.Address)
+// reserve counts a connection that is about to be opened. At the limit it
+// closes an idle connection, or else one that is silent.
+func (c *Client) reserve() (*connection, error) {
+	victim := c.takeIdleAtLimit()
+	if victim != nil {
+		victim.close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit > 0 && len(c.open) >= c.limit {
+		c.Meter.Inc("runner_connection_limit")
+		return nil, errNoConnection
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		c.Meter.Inc("runner_silent")
+	if c.open == nil {
+		c.open = make(map[*connection]struct{})
 	}
-	c.Meter.Inc("runner_answer_lost")
-	return fault.Wrap(fault.AnswerLost, err, "runner %s", c.Address)
+	c.next++
+	conn := &connection{client: c, id: c.next}
+	c.open[conn] = struct{}{}
+	return conn, nil
 }
 
-func readAnswer(resp *http.Response, r Request) (Answer, error) {
-	attempt, err := strconv.Atoi(resp.Header.Get(HeaderAttempt))
-	if err != nil || resp.Header.Get(HeaderRequestID) != r.ID || attempt != r.Attempt {
-		return Answer{}, fault.New(fault.BadAnswer, "the answer is to another attempt")
+func (c *Client) takeIdleAtLimit() *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == 0 || len(c.open) < c.limit {
+		return nil
 	}
-	if reason := resp.Header.Get(HeaderNotStarted); reason != "" {
-		return Answer{}, fault.New(fault.NotStarted, "%s", reason)
+	if len(c.idle) > 0 {
+		conn := c.idle[0]
+		c.idle = c.idle[1:]
+		return conn
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return Answer{}, fault.Wrap(fault.AnswerLost, err, "read answer")
+	for conn := range c.open {
+		if conn.silent.Load() {
+			return conn
+		}
+	}
+	return nil
+}
+
+func (c *Client) release(conn *connection, reusable bool) {
+	if !reusable {
+		conn.close()
+		return
 	}
-	if resp.StatusCode != http.StatusOK {
-		return Answer{}, fault.New(fault.BadAnswer, "status %d", resp.StatusCode)
+	c.mu.Lock()
+	keep := !c.closed && (c.limit == 0 || len(c.open) <= c.limit)
+	if keep {
+		// The watch begins before the connection can be taken again.
+		conn.watch()
+		c.idle = append(c.idle, conn)
 	}
-	if resp.Header.Get(HeaderLength) != strconv.Itoa(len(b)) {
-		return Answer{}, fault.New(fault.BadAnswer, "the answer is cut short")
+	c.mu.Unlock()
+	if !keep {
+		conn.close()
 	}
-	if resp.Header.Get(HeaderDigest) != Digest(b) {
-		return Answer{}, fault.New(fault.BadAnswer, "the answer has a wrong digest")
+}
+
+// forget removes a closed connection.
+func (c *Client) forget(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+	for i, x := range c.idle {
+		if x == conn {
+			c.idle = append(c.idle[:i], c.idle[i+1:]...)
+			return
+		}
 	}
-	return Answer{RequestID: r.ID, Attempt: attempt, Payload: b}, nil
 }
 
 // Digest returns the hexadecimal SHA-256 of an answer's payload.
