--- a/internal/control/daemon/configuration.go
+++ b/internal/control/daemon/configuration.go
@@ -37,7 +37,7 @@
 	for i, l := range live {
 		peers[i] = config.Peer{
 			VMID: l.VM.GetVmId(), DataCentre: l.VM.GetDataCentre(),
-			Address: l.VM.GetPeerAddress(), Version: l.State.GetConfigVersion(),
+			Address: l.VM.GetPeerAddress(), Version: l.VM.GetConfigVersion(),
 		}
 	}
 	return peers
@@ -113,7 +113,7 @@
 	heard := make(map[string]bool)
 	for _, p := range d.gossip.Live() {
 		heard[p.VM.GetPeerAddress()] = true
-		s.Add(p.VM.GetVmId(), p.State.GetConfigVersion())
+		s.Add(p.VM.GetVmId(), p.VM.GetConfigVersion())
 	}
 	for _, vm := range d.otherEntries() {
 		if !heard[vm.Address] {
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/dispatch"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/drain"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/planner"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -81,7 +82,7 @@
 	d.vms = &vmlist.Client{BaseURL: platform, HTTP: client}
 	d.gossip = &gossip.Table{
 		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
-		Source: d.fillHeartbeat,
+		Source: d.fillHeartbeat, Sink: d.takeHeartbeat,
 	}
 	d.joinConfiguration()
 	d.joinWork()
@@ -103,10 +104,7 @@
 
 func (d *Daemon) joinWork() {
 	records := &job.Records{Keeper: &record.Records{KV: d.store}}
-	d.dispatch = &dispatch.Dispatcher{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
-		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
-	}
+	d.dispatch = d.newDispatcher(&claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString})
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Meter: d.meter, Log: d.log,
@@ -123,7 +121,7 @@
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
 		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
-		Config: d.keeper.Current, Ready: d.Ready, Meter: d.meter,
+		Config: d.keeper.Current, Ready: d.Ready, Loaded: d.loaded.Load, Meter: d.meter,
 	}
 	c.Register(d.callers)
 	d.callers.GET("/readyz", d.readyz)
@@ -151,6 +149,7 @@
 	hb.From.Leaving = d.draining.Load()
 	hb.ConfigVersion = d.keeper.Current().Version
 	hb.From.ConfigVersion = hb.ConfigVersion
+	d.fillRequests(hb)
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -163,6 +162,7 @@
 		return err
 	}
 	d.refreshTargets(duties)
+	go d.dispatch.Run(duties)
 	go d.load(duties)
 	go d.gossip.Run(duties)
 	go d.keeper.Run(duties)
@@ -236,6 +236,7 @@
 	}
 	var runners, workers []vmlist.VM
 	var peers []string
+	var entries []vmlist.VM
 	for _, vm := range a.VMs {
 		switch vm.Role {
 		case vmlist.Runner:
@@ -246,10 +247,12 @@
 			}
 		case vmlist.Entry:
 			peers = append(peers, vm.Address)
+			entries = append(entries, vm)
 		}
 	}
 	d.gossip.Addresses(peers)
 	d.setTargets(a.VMs)
+	d.dispatch.SetEntryVMs(entries)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
 	d.mu.Lock()
@@ -259,19 +262,13 @@
 
 // drain stops as planned.
 func (d *Daemon) drain() error {
-	d.log.Info("stopping")
-	d.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainTimeout.Duration)
-	defer cancel()
-	d.dispatch.Drain()
-	for _, e := range []*echo.Echo{d.callers, d.operators} {
-		if err := e.Server.Shutdown(ctx); err != nil {
-			return fault.Wrap(fault.Internal, err, "shut down")
-		}
+	p := drain.Plan{
+		Log: d.log, Timeout: d.settings.Limits.DrainTimeout.Duration,
+		Leave:     func() { d.draining.Store(true) },
+		Requests:  d.dispatch,
+		Listeners: []drain.Listener{d.callers.Server, d.operators.Server, d.peers},
 	}
-	_ = d.peers.Shutdown(ctx)
-	d.log.Info("stopped")
-	return nil
+	return p.Run()
 }
 
 // Fleet returns the fleet as this VM sees it.
