Split the planner into duties and extend the worker stand-in

The planner was one file with serial steps, so one slow worker held up all renewals. A term now owns the state and its duties (takeover, planning, execution, renewal, settling, records, checkpoints, reload) run on goroutines of their own, joined by bounded channels; leases are renewed with one call per worker and third of a lease. A worker's refused epoch ends the term.

The worker stand-in refuses a start of an ended part, throttles, reports lagging usage, lapses leases on order and lets a test lose a start.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -98,13 +98,13 @@
 
 func (d *Daemon) joinWork() {
 	records := &job.Records{Keeper: &record.Records{KV: d.store}}
+	claims := &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString}
 	d.dispatch = &dispatch.Dispatcher{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
-		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
+		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log, Claims: claims,
 	}
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
-		Records: records, Meter: d.meter, Log: d.log,
+		Records: records, Claims: claims, Meter: d.meter, Log: d.log,
 		HTTP: &http.Client{Transport: transport(d.settings.Listen.Peers)},
 	}
 	d.desk = &job.Desk{Self: d.self, Planner: d.planner, Peers: d.gossip, Records: records, Meter: d.meter}
@@ -161,6 +161,7 @@
 	go d.keeper.Run(duties)
 	go d.watchTargets(duties)
 	go d.planner.Run(duties)
+	go d.desk.Run(duties)
 	d.log.Info("serving", "vm", d.settings.VMID, "data_centre", d.settings.DataCentre)
 	select {
 	case <-ctx.Done():
--- a/internal/control/job/desk.go
+++ b/internal/control/job/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
@@ -17,6 +18,8 @@
 	Fits(r Record) error
 	Jobs(id string) []Record
 	Explain(id string) (gang.Explanation, bool)
+	// Decisions returns the last decisions about a job, oldest first.
+	Decisions(id string) []Decision
 	Cancel(ctx context.Context, id string) error
 }
 
@@ -30,6 +33,8 @@
 type View struct {
 	Record
 	Explanation *gang.Explanation `json:"explanation,omitempty"`
+	// Decisions are the last decisions, oldest first.
+	Decisions []Decision `json:"decisions,omitempty"`
 }
 
 // Desk takes jobs at any VM and hands them to the data centre's planner.
@@ -41,19 +46,81 @@
 		Save(ctx context.Context, r Record) error
 	}
 	Meter *meter.Meter
+
+	pending pending
 }
 
 // Submit keeps the record of a job and hands it to the planner. When it returns
-// nil the job is admitted.
+// nil the job is admitted: a planner that misses the hand-over gets it again.
+// An error of kind ClaimUnresolved means that the record may be kept; the job
+// can then be found by its id.
 func (d *Desk) Submit(ctx context.Context, r Record) error {
 	if err := d.Planner.Fits(r); err != nil {
 		return err
 	}
-	if err := d.Records.Save(ctx, r); err != nil {
+	known, err := d.known(ctx, r)
+	if known || err != nil {
 		return err
 	}
+	if err := d.pending.add(r); err != nil {
+		return err
+	}
+	if err := d.Records.Save(ctx, r); err != nil {
+		return d.notKept(r, err)
+	}
+	d.pending.keep(r.ID)
 	d.Meter.Inc("job_admitted")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+	defer cancel()
+	d.handOver(ctx, r)
+	return nil
+}
+
+// known reports whether the submission was taken before. The error is of kind
+// KeyReused when its id belongs to another request.
+func (d *Desk) known(ctx context.Context, r Record) (bool, error) {
+	views, err := d.List(ctx, r.ID, false)
+	if err != nil || len(views) == 0 {
+		return false, nil
+	}
+	if !views[0].SameRequest(&r) {
+		return false, fault.WithField(fault.KeyReused, "Idempotency-Key", "was used for another job")
+	}
+	s, waits := d.pending.get(r.ID)
+	return !waits || s.kept, nil
+}
+
+// notKept answers a submission whose record could not be kept for sure.
+func (d *Desk) notKept(r Record, err error) error {
+	switch fault.KindOf(err) {
+	case fault.ClaimUnresolved, fault.AnswerLost, fault.BadAnswer, fault.Internal:
+		d.Meter.Inc("job_record_ambiguous")
+		return fault.Wrap(fault.ClaimUnresolved, err, "job %s may have been admitted", r.ID)
+	}
+	if s, waits := d.pending.get(r.ID); waits && !s.kept {
+		d.pending.remove(r.ID)
+	}
+	return err
+}
+
+// handOverTimeout bounds one hand-over.
+const handOverTimeout = 2 * time.Second
+
+// handOver gives a kept job to the planner and, once acknowledged, forgets it.
+func (d *Desk) handOver(ctx context.Context, r Record) {
 	vm, self := d.planner(r.DataCentre)
+	if vm == nil {
+		return
+	}
+	err := d.callPlanner(ctx, vm, self, r)
+	if err != nil {
+		d.Meter.Inc("job_hand_over_lost")
+		return
+	}
+	d.pending.remove(r.ID)
+}
+
+func (d *Desk) callPlanner(ctx context.Context, vm *peerv1.Vm, self bool, r Record) error {
 	if self {
 		return d.Planner.Submit(ctx, r)
 	}
@@ -61,12 +128,12 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "encode job")
 	}
-	if vm == nil {
-		return nil
+	resp, err := d.Peers.Client(vm.GetPeerAddress()).SubmitJob(ctx, &peerv1.SubmitJobRequest{Job: b})
+	if err != nil {
+		return fault.Wrap(fault.AnswerLost, err, "planner %s", vm.GetVmId())
 	}
-	// The record is kept: a planner that misses this call loads it later.
-	if _, err := d.Peers.Client(vm.GetPeerAddress()).SubmitJob(ctx, &peerv1.SubmitJobRequest{Job: b}); err != nil {
-		d.Meter.Inc("job_hand_over_lost")
+	if !resp.GetAccepted() {
+		return fault.New(fault.Kind(resp.GetKind()), "%s", resp.GetMessage())
 	}
 	return nil
 }
@@ -78,6 +145,18 @@
 
 // List returns the jobs of this data centre, or the one of an id.
 func (d *Desk) List(ctx context.Context, id string, explain bool) ([]View, error) {
+	views, err := d.plannerViews(ctx, id, explain)
+	if id == "" || len(views) > 0 {
+		return views, err
+	}
+	if s, ok := d.pending.get(id); ok {
+		s.record.Reason = "waits to be handed to the planner"
+		return []View{{Record: s.record}}, nil
+	}
+	return views, err
+}
+
+func (d *Desk) plannerViews(ctx context.Context, id string, explain bool) ([]View, error) {
 	vm, self := d.planner(d.Self.GetDataCentre())
 	if vm == nil {
 		return nil, fault.New(fault.NotReady, "no planner is known")
@@ -107,6 +186,7 @@
 		if !explain {
 			continue
 		}
+		views[i].Decisions = d.Planner.Decisions(r.ID)
 		if x, ok := d.Planner.Explain(r.ID); ok {
 			views[i].Explanation = &x
 		}
@@ -114,8 +194,20 @@
 	return views
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. Cancelling a job again, or one that has ended, does
+// nothing.
 func (d *Desk) Cancel(ctx context.Context, id string) error {
+	if s, ok := d.pending.get(id); ok {
+		d.resend(ctx, s)
+	}
+	err := d.cancelAtPlanner(ctx, id)
+	if _, waits := d.pending.get(id); waits && fault.Is(err, fault.NotFound) {
+		return fault.New(fault.NotReady, "job %s waits to be handed to the planner", id)
+	}
+	return err
+}
+
+func (d *Desk) cancelAtPlanner(ctx context.Context, id string) error {
 	vm, self := d.planner(d.Self.GetDataCentre())
 	if vm == nil {
 		return fault.New(fault.NotReady, "no planner is known")
--- a/internal/control/job/job.go
+++ b/internal/control/job/job.go
@@ -3,8 +3,11 @@
 package job
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
 )
 
@@ -51,13 +54,35 @@
 	Attempt string `json:"attempt,omitempty"`
 	// Attempts counts the starts.
 	Attempts int `json:"attempts"`
-	// CheckpointMS is the work kept by checkpoints.
-	CheckpointMS int64       `json:"checkpoint_ms"`
-	Slots        []gang.Slot `json:"slots,omitempty"`
+	// CheckpointMS is the work, in milliseconds, that the last checkpoint common
+	// to all parts keeps, over all attempts.
+	CheckpointMS int64 `json:"checkpoint_ms"`
+	// BaseMS is the CheckpointMS that the current attempt started from; it
+	// never exceeds CheckpointMS.
+	BaseMS int64       `json:"base_ms"`
+	Slots  []gang.Slot `json:"slots,omitempty"`
+	// CancelRequested says that the caller cancelled the job; it is never
+	// started again and ends cancelled unless it has ended before.
+	CancelRequested bool `json:"cancel_requested,omitempty"`
+	// EndedUnixMS is the time of the end; 0 until State is final.
+	EndedUnixMS int64 `json:"ended_unix_ms,omitempty"`
 	// Sequence grows with every change of the record.
 	Sequence uint64 `json:"sequence"`
 }
 
+// idNamespace makes the ids of keyed jobs differ from other name-based ids.
+var idNamespace = uuid.NewSHA1(uuid.NameSpaceOID, []byte("dogwoodworks.job"))
+
+// NewID returns the id of a submission. A key of the client account gives the
+// same id each time, so that a repeated submission is the same job; an empty
+// key gives a fresh one.
+func NewID(account, key string) string {
+	if key == "" {
+		return uuid.NewString()
+	}
+	return uuid.NewSHA1(idNamespace, []byte(strconv.Quote(account)+strconv.Quote(key))).String()
+}
+
 // StoreKey returns the store's key of a job.
 func StoreKey(dataCentre, id string) string { return "jobs/" + dataCentre + "/" + id }
 
@@ -66,7 +91,25 @@
 	return gang.Job{
 		ID: r.ID, Account: r.Account, Kind: r.Kind, Rank: r.Rank,
 		Tasks: r.Tasks, Accelerators: r.Accelerators, Adjacent: r.Adjacent, Idempotent: r.Idempotent,
-		Declared:  time.Duration(r.DeclaredMS-r.CheckpointMS) * time.Millisecond,
+		Declared:  r.Remaining(),
 		Submitted: time.UnixMilli(r.SubmittedUnixMS),
 	}
 }
+
+// Remaining returns the declared run time that is left, at least 1 ms.
+func (r *Record) Remaining() time.Duration {
+	return time.Duration(max(1, r.DeclaredMS-r.CheckpointMS)) * time.Millisecond
+}
+
+// SameRequest reports whether two records are of the same submission.
+func (r *Record) SameRequest(o *Record) bool {
+	return r.Account == o.Account && r.Kind == o.Kind && r.Tasks == o.Tasks &&
+		r.Accelerators == o.Accelerators && r.Adjacent == o.Adjacent &&
+		r.RunMS == o.RunMS && r.DeclaredMS == o.DeclaredMS
+}
+
+// Decision is one decision about a job, kept for explanations.
+type Decision struct {
+	UnixMS int64  `json:"unix_ms"`
+	Reason string `json:"reason"`
+}
--- a/internal/control/job/records.go
+++ b/internal/control/job/records.go
@@ -45,3 +45,18 @@
 	}
 	return all, nil
 }
+
+// deleter is a keeper that can forget records.
+type deleter interface {
+	// Delete forgets the record of a key.
+	Delete(ctx context.Context, key string) error
+}
+
+// Delete forgets a job's record where the keeper can do so.
+func (s *Records) Delete(ctx context.Context, r Record) error {
+	d, ok := s.Keeper.(deleter)
+	if !ok {
+		return nil
+	}
+	return d.Delete(ctx, StoreKey(r.DataCentre, r.ID))
+}
--- /dev/null
+++ b/internal/control/planner/checkpoint.go
@@ -0,0 +1,82 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+func (p *Planner) checkpointInterval() time.Duration {
+	if p.CheckpointInterval == 0 {
+		return DefaultCheckpointInterval
+	}
+	return p.CheckpointInterval
+}
+
+// checkpoints keeps the work of long gangs from time to time, so that the work
+// that a lost member costs is bounded.
+func (t *term) checkpoints() {
+	clock := time.NewTicker(tick)
+	defer clock.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-clock.C:
+		}
+		for _, e := range t.dueCheckpoints(time.Now()) {
+			t.duties.Go(func() { t.checkpoint(t.ctx, e) })
+		}
+	}
+}
+
+func (t *term) dueCheckpoints(now time.Time) []*entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	interval := t.p.checkpointInterval()
+	var due []*entry
+	for _, e := range t.jobs {
+		if e.phase == running && e.rec.Idempotent && now.Sub(e.checkpointed) >= interval {
+			e.checkpointed = now
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// checkpoint keeps the work of all parts of a gang. The work that all parts
+// have kept counts; a part that does not answer keeps its last one.
+func (t *term) checkpoint(ctx context.Context, e *entry) {
+	t.mu.Lock()
+	part, parts := e.part(), partsOf(e.rec.Slots)
+	t.mu.Unlock()
+	var mu sync.Mutex
+	kept := make(map[string]worker.PartStatus, len(parts))
+	errs := t.eachPart(ctx, parts, false, func(ctx context.Context, id string, c *worker.Client) error {
+		s, err := c.Checkpoint(ctx, worker.PartRequest{Part: part, Epoch: t.epoch})
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		kept[id] = s
+		return nil
+	})
+	t.p.Meter.Inc("gang_checkpoint")
+	if len(errs) > 0 {
+		t.p.Meter.Inc("gang_checkpoint_partial")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.part() != part {
+		return
+	}
+	for id, s := range kept {
+		if e.parts[id].State != worker.Done {
+			e.parts[id] = s
+		}
+	}
+	t.advance(e)
+}
--- /dev/null
+++ b/internal/control/planner/execute.go
@@ -0,0 +1,168 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+// operationKind says what an operation does.
+type operationKind int
+
+const (
+	// startGang reserves and starts a placed job.
+	startGang operationKind = iota
+	// preemptGang keeps a gang's work, stops it and queues the job again.
+	preemptGang
+	// stopGang stops a gang; the job is queued again unless outcome is set.
+	stopGang
+	// stopPart stops one part of an attempt that is not in force.
+	stopPart
+)
+
+// operation is one order in execution. At most one start, pre-emption or stop
+// of a job is in flight; its entry's phase is starting or stopping meanwhile.
+type operation struct {
+	kind   operationKind
+	entry  *entry
+	reason string
+	// outcome is the final state that a stopped job ends in; empty queues it
+	// again.
+	outcome job.State
+	// worker and part are set for stopPart.
+	worker string
+	part   worker.Part
+}
+
+// order hands an operation to the execution duty.
+func (t *term) order(op operation) {
+	select {
+	case t.operations <- op:
+	case <-t.ctx.Done():
+	}
+}
+
+// execution runs the operations, a bounded number at once.
+func (t *term) execution() {
+	places := make(chan struct{}, maxOperations)
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case op := <-t.operations:
+			select {
+			case places <- struct{}{}:
+			case <-t.ctx.Done():
+				return
+			}
+			t.duties.Go(func() {
+				t.execute(op)
+				<-places
+			})
+		}
+	}
+}
+
+func (t *term) execute(op operation) {
+	if op.kind == stopPart {
+		_ = t.call(t.ctx, op.worker, false, func(ctx context.Context, c *worker.Client) error {
+			return c.Stop(ctx, worker.PartRequest{Part: op.part, Epoch: t.epoch})
+		})
+		return
+	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	t.mu.Lock()
+	op.entry.abort = cancel
+	t.mu.Unlock()
+	switch op.kind {
+	case startGang:
+		t.start(ctx, op)
+	case preemptGang:
+		t.preempt(ctx, op)
+	default:
+		t.stop(op)
+	}
+}
+
+// planInterval is the longest time between two rounds of planning.
+const planInterval = 250 * time.Millisecond
+
+// planning asks the decisions for orders whenever something has changed.
+func (t *term) planning() {
+	clock := time.NewTicker(planInterval)
+	defer clock.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.wake:
+		case <-clock.C:
+		}
+		for _, op := range t.plan(t.p.Config().Document) {
+			t.order(op)
+		}
+	}
+}
+
+func (t *term) plan(doc config.Document) []operation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.SetAccounts(accounts(doc))
+	t.state.SetWeights(gang.Weights{
+		CompletionTime: doc.Defaults.CompletionTimeWeight,
+		Fragmentation:  doc.Defaults.FragmentationWeight,
+	})
+	for _, e := range t.jobs {
+		if e.phase == waiting {
+			t.place(e)
+		}
+	}
+	var operations []operation
+	for _, o := range t.state.Plan(time.Now()) {
+		if op, ok := t.accept(o); ok {
+			operations = append(operations, op)
+		}
+	}
+	return operations
+}
+
+// accept turns an order of the decisions into an operation. t.mu is held.
+func (t *term) accept(o gang.Order) (operation, bool) {
+	e, ok := t.jobs[o.JobID]
+	if !ok {
+		t.p.Meter.Inc("planner_order_without_job")
+		return operation{}, false
+	}
+	switch {
+	case o.Kind == gang.Start && e.phase == waiting:
+		e.phase = starting
+		e.rec.Slots = o.Slots
+		t.note(e, "placed: "+o.Reason)
+		return operation{kind: startGang, entry: e}, true
+	case o.Kind == gang.Preempt && e.phase == running && !e.rec.Idempotent:
+		t.p.Meter.Inc("planner_preempt_refused")
+	case o.Kind == gang.Preempt && e.phase == running:
+		e.phase = stopping
+		t.p.Meter.Inc("gang_preempted")
+		t.note(e, "pre-empted: "+o.Reason)
+		return operation{kind: preemptGang, entry: e, reason: "pre-empted: " + o.Reason}, true
+	case o.Kind == gang.Start || o.Kind == gang.Preempt:
+		t.p.Meter.Inc("planner_order_out_of_phase")
+	default:
+		t.p.Meter.Inc("planner_order_unknown")
+	}
+	return operation{}, false
+}
+
+func accounts(doc config.Document) []gang.Account {
+	all := make([]gang.Account, 0, len(doc.Accounts))
+	for _, a := range doc.Accounts {
+		all = append(all, gang.Account{ID: a.ID, Workers: a.Guarantee.Workers, Accelerators: a.Guarantee.Accelerators})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/control/planner/lead.go
@@ -0,0 +1,162 @@
+package planner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+// tick is the time between two looks of a duty at the clock.
+const tick = 50 * time.Millisecond
+
+// maxRetakeLeases bounds the time, in leases, that a planner whose epoch was
+// refused waits before it takes over again.
+const maxRetakeLeases = 4
+
+// Run takes over when this VM is chosen and resigns when it is not or when a
+// worker has seen a higher epoch, until ctx ends.
+func (p *Planner) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	var l lead
+	for {
+		select {
+		case <-ctx.Done():
+			l.resign(p, "stopped")
+			return
+		case <-t.C:
+			l.step(ctx, p)
+		}
+	}
+}
+
+// lead is the takeover duty's own state.
+type lead struct {
+	term *term
+	// refusals counts the terms that ended with a refused epoch, since the last
+	// one that lasted.
+	refusals  int
+	notBefore time.Time
+	began     time.Time
+}
+
+func (l *lead) step(ctx context.Context, p *Planner) {
+	chosen := p.Chosen()
+	switch {
+	case l.term == nil && chosen && p.workersKnown() && !time.Now().Before(l.notBefore):
+		l.begin(ctx, p)
+	case l.term != nil && l.term.ctx.Err() != nil:
+		l.backOff(p)
+		l.resign(p, "a worker has seen a higher epoch")
+	case l.term != nil && !chosen:
+		l.resign(p, "another VM was chosen")
+	}
+}
+
+// workersKnown reports whether the platform's list was read.
+func (p *Planner) workersKnown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vms != nil
+}
+
+// backOff delays the next term: after a refusal for a part of a lease, and
+// twice as long after each further one, so that two planners that both think
+// they are chosen do not disturb each other for long.
+func (l *lead) backOff(p *Planner) {
+	lease := p.lease()
+	if time.Since(l.began) > maxRetakeLeases*lease {
+		l.refusals = 0
+	}
+	wait := min(lease/8<<min(l.refusals, 8), maxRetakeLeases*lease)
+	l.refusals++
+	l.notBefore = time.Now().Add(wait/2 + rand.N(wait/2+1))
+}
+
+func (l *lead) begin(ctx context.Context, p *Planner) {
+	l.term = p.takeOver(ctx)
+	l.began = time.Now()
+}
+
+func (l *lead) resign(p *Planner, reason string) {
+	if l.term == nil {
+		return
+	}
+	l.term.end()
+	l.term = nil
+	p.Meter.Set("planner_active", 0)
+	p.Meter.Inc("planner_resigned")
+	p.Log.Info("planner resigned", "data_centre", p.DataCentre, "epoch", p.Epoch(), "reason", reason)
+}
+
+func (p *Planner) lease() time.Duration { return p.Config().Document.Defaults.Lease.Duration }
+
+// takeOverTimeout bounds the reading of lists and records.
+func (p *Planner) takeOverTimeout() time.Duration { return min(time.Second, p.lease()/4) }
+
+// takeOver begins a term: it reads the workers' lists and the kept records, at
+// the same time, and continues with what it finds.
+func (p *Planner) takeOver(ctx context.Context) *term {
+	listed := time.Now()
+	p.mu.Lock()
+	vms := make([]vmlist.VM, 0, len(p.vms))
+	for _, vm := range p.vms {
+		vms = append(vms, vm)
+	}
+	p.mu.Unlock()
+	t := newTerm(ctx, p)
+	t.setWorkers(vms)
+	readCtx, cancel := context.WithTimeout(ctx, p.takeOverTimeout())
+	defer cancel()
+	var wg sync.WaitGroup
+	var records []job.Record
+	var err error
+	wg.Go(func() { records, err = p.Records.Load(readCtx, p.DataCentre) })
+	lists := t.listAll(readCtx)
+	wg.Wait()
+	if err != nil {
+		p.Meter.Inc("planner_takeover_without_records")
+	}
+	p.mu.Lock()
+	for _, s := range lists {
+		p.epoch = max(p.epoch, s.Epoch)
+	}
+	p.epoch++
+	t.epoch = p.epoch
+	p.mu.Unlock()
+	t.rebuild(records, lists, listed)
+	t.run(err == nil)
+	p.mu.Lock()
+	p.term = t
+	p.mu.Unlock()
+	p.Meter.Set("planner_active", 1)
+	p.Meter.Inc("planner_takeover")
+	p.Log.Info("planner active", "data_centre", p.DataCentre, "epoch", t.epoch, "jobs", len(t.records("")))
+	return t
+}
+
+// listAll asks all workers for their reports.
+func (t *term) listAll(ctx context.Context) map[string]worker.Status {
+	var mu sync.Mutex
+	all := make(map[string]worker.Status)
+	var wg sync.WaitGroup
+	for _, m := range t.allMembers() {
+		wg.Go(func() {
+			s, err := m.client.List(ctx)
+			if err != nil {
+				t.p.Meter.Inc("planner_list_failed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[m.vm.ID] = s
+		})
+	}
+	wg.Wait()
+	return all
+}
--- /dev/null
+++ b/internal/control/planner/member.go
@@ -0,0 +1,180 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+// member is one worker during a term. Its fields are guarded by the term's lock.
+type member struct {
+	vm     vmlist.VM
+	client *worker.Client
+	// gone says that the platform's list no longer names the worker.
+	gone bool
+	// leaving says that the worker itself or the list says that it leaves.
+	leaving bool
+	// silent says that the worker has not reported for too long.
+	silent bool
+	// seen is the time at which the last answered report was asked for.
+	seen time.Time
+	// touched is the end of the last call that may have prolonged a lease.
+	touched time.Time
+	// due is the time of the next renewal.
+	due time.Time
+	// calling says that a renewal is in flight.
+	calling bool
+	// leases are the parts that are renewed, with their jobs.
+	leases map[worker.Part]*entry
+	// forget are ended parts that the next renewal lets the worker forget.
+	forget []worker.Part
+	// last is the last report; nil before the first.
+	last *worker.Status
+	// sound says that the last start here worked.
+	sound bool
+}
+
+// closed reports whether the worker gets no new work. One that has not reported
+// in this term gets none either.
+func (m *member) closed() bool {
+	return m.gone || m.leaving || m.vm.Leaving || m.silent || m.last == nil
+}
+
+// leaves reports whether the worker has to be emptied.
+func (m *member) leaves() bool { return m.gone || m.leaving || m.vm.Leaving || m.silent }
+
+// lostAfter is the time without a report after which a worker counts as lost.
+// It is shorter than a lease by half a renewal interval, so that the other
+// parts of its gangs are stopped before its own have been lapsed for long.
+func (p *Planner) lostAfter() time.Duration {
+	lease := p.lease()
+	return lease - lease/(2*renewalsPerLease)
+}
+
+// setWorkers takes the platform's list.
+func (t *term) setWorkers(vms []vmlist.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+		t.setWorker(vm)
+	}
+	for id, m := range t.members {
+		if listed[id] || m.gone {
+			continue
+		}
+		m.gone = true
+		t.p.Meter.Inc("planner_worker_gone")
+		t.p.Log.Info("worker is gone from the platform's list", "worker", id)
+		t.refreshWorker(m)
+	}
+	notify(t.wake)
+}
+
+// setWorker adds or changes a worker. t.mu is held.
+func (t *term) setWorker(vm vmlist.VM) {
+	m, ok := t.members[vm.ID]
+	if !ok || m.vm.Address != vm.Address {
+		client := &worker.Client{Address: vm.Address, Meter: t.p.Meter, HTTP: t.p.HTTP}
+		if !ok {
+			now := time.Now()
+			m = &member{seen: now, touched: now, leases: make(map[worker.Part]*entry)}
+			t.members[vm.ID] = m
+		}
+		m.client = client
+	}
+	changed := !ok || m.gone || m.vm != vm
+	m.vm, m.gone = vm, false
+	if changed {
+		t.refreshWorker(m)
+	}
+}
+
+// refreshWorker tells the state about a worker. t.mu is held.
+func (t *term) refreshWorker(m *member) {
+	if m.gone && len(m.leases) == 0 {
+		t.state.RemoveWorker(m.vm.ID)
+		return
+	}
+	t.state.SetWorker(gang.Worker{
+		ID: m.vm.ID, Rack: m.vm.Rack, Accelerators: m.vm.Accelerators, Closed: m.closed(),
+	})
+	notify(t.wake)
+}
+
+func (t *term) allMembers() []*member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*member, 0, len(t.members))
+	for _, m := range t.members {
+		all = append(all, m)
+	}
+	return all
+}
+
+// call calls one worker. prolongs says that the call may prolong a lease. A
+// refused epoch ends the term.
+func (t *term) call(ctx context.Context, id string, prolongs bool, f func(ctx context.Context, c *worker.Client) error) error {
+	t.mu.Lock()
+	m, ok := t.members[id]
+	var c *worker.Client
+	if ok {
+		c = m.client
+	}
+	t.mu.Unlock()
+	if !ok {
+		return fault.New(fault.NoTarget, "worker %s is not known", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.p.callTimeout())
+	defer cancel()
+	err := f(ctx, c)
+	if prolongs {
+		t.mu.Lock()
+		m.touched = time.Now()
+		t.mu.Unlock()
+	}
+	if worker.IsEpochRefused(err) {
+		t.fenced()
+	}
+	return err
+}
+
+// maxCallTimeout bounds one call to a worker.
+const maxCallTimeout = time.Second
+
+// callTimeout leaves room for a second call within the start window and for a
+// second renewal within a lease.
+func (p *Planner) callTimeout() time.Duration {
+	d := p.Config().Document.Defaults
+	return min(maxCallTimeout, d.StartWindow.Duration/3, d.Lease.Duration/renewalsPerLease)
+}
+
+// eachPart calls f for all workers of a gang at once and returns their errors
+// by worker; those without an error are left out.
+func (t *term) eachPart(ctx context.Context, parts map[string]partSlots, prolongs bool,
+	f func(ctx context.Context, id string, c *worker.Client) error,
+) map[string]error {
+	type result struct {
+		id  string
+		err error
+	}
+	results := make(chan result, len(parts))
+	for id := range parts {
+		go func() {
+			err := t.call(ctx, id, prolongs, func(ctx context.Context, c *worker.Client) error { return f(ctx, id, c) })
+			results <- result{id: id, err: err}
+		}()
+	}
+	errs := make(map[string]error)
+	for range parts {
+		if r := <-results; r.err != nil {
+			errs[r.id] = r.err
+		}
+	}
+	return errs
+}
--- /dev/null
+++ b/internal/control/planner/stop.go
@@ -0,0 +1,135 @@
+package planner
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+// Bounds on the failures of one job after which it ends failed.
+const (
+	// maxFailedSound is the number of distinct workers that started other jobs.
+	maxFailedSound = 3
+	// maxFailedStarts is the number of starts that failed in a row.
+	maxFailedStarts = 50
+)
+
+// stop stops a gang at all its workers and concludes the attempt.
+func (t *term) stop(op operation) {
+	t.stopAll(op.entry)
+	t.conclude(op)
+}
+
+// preempt keeps a gang's work, waits for the checkpoint grace, stops the gang
+// and queues the job again.
+func (t *term) preempt(ctx context.Context, op operation) {
+	grace := time.NewTimer(t.p.Config().Document.Defaults.CheckpointGrace.Duration)
+	defer grace.Stop()
+	within, cancel := context.WithTimeout(ctx, t.p.Config().Document.Defaults.CheckpointGrace.Duration)
+	defer cancel()
+	t.checkpoint(within, op.entry)
+	select {
+	case <-ctx.Done():
+	case <-grace.C:
+	}
+	t.mu.Lock()
+	t.release(op.entry)
+	t.mu.Unlock()
+	t.stop(op)
+}
+
+// stopRetryDelay is the time between two tries to stop a part.
+const stopRetryDelay = 100 * time.Millisecond
+
+// stopAll returns once every part of the gang's attempt is stopped, or its
+// lease must have run out. A cancellation does not interrupt it.
+func (t *term) stopAll(e *entry) {
+	t.mu.Lock()
+	left := partsOf(e.rec.Slots)
+	part := e.part()
+	t.mu.Unlock()
+	began := time.Now()
+	for t.ctx.Err() == nil {
+		errs := t.eachPart(t.ctx, left, false, func(ctx context.Context, _ string, c *worker.Client) error {
+			return c.Stop(ctx, worker.PartRequest{Part: part, Epoch: t.epoch})
+		})
+		maps.DeleteFunc(left, func(id string, _ partSlots) bool {
+			err, bad := errs[id]
+			return !bad || fault.Is(err, fault.NotFound) || t.lapsed(id, began)
+		})
+		if len(left) == 0 {
+			return
+		}
+		t.p.Meter.Inc("gang_stop_retry")
+		select {
+		case <-t.ctx.Done():
+		case <-time.After(stopRetryDelay):
+		}
+	}
+}
+
+// lapsed reports whether the leases at a worker that are not renewed since a
+// time must have run out.
+func (t *term) lapsed(id string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lease := t.p.lease()
+	m, ok := t.members[id]
+	if !ok {
+		return time.Since(since) > lease
+	}
+	return !m.calling && time.Since(m.touched) > lease
+}
+
+// conclude ends an attempt that is stopped: the job is queued again from its
+// checkpoint, or ends when it was cancelled or must not start again.
+func (t *term) conclude(op operation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil {
+		return
+	}
+	e := op.entry
+	e.abort = nil
+	t.release(e)
+	t.advance(e)
+	switch {
+	case e.rec.CancelRequested:
+		t.finish(e, job.Cancelled, "cancelled by the caller")
+	case op.outcome.Final():
+		t.finish(e, op.outcome, op.reason)
+	case len(e.failedOn) >= maxFailedSound:
+		t.finish(e, job.Failed, "failed on several workers that run other jobs; last: "+op.reason)
+	case e.failedStarts >= maxFailedStarts:
+		t.finish(e, job.Failed, "failed to start too often; last: "+op.reason)
+	default:
+		t.requeue(e, op.reason)
+	}
+}
+
+// requeue puts a whole job back. t.mu is held.
+func (t *term) requeue(e *entry, reason string) {
+	t.spend(e)
+	e.phase = waiting
+	e.begun = false
+	e.rec.State, e.rec.Slots = job.Waiting, nil
+	t.note(e, reason)
+	t.changed(e)
+	t.state.Requeue(e.rec.ID, e.rec.Remaining(), time.Now(), reason)
+	t.p.Meter.Inc("job_requeued")
+	notify(t.wake)
+}
+
+// settleClaim spends the claim of a job that has ended.
+func (t *term) settleClaim(ctx context.Context, ticket *claim.Ticket, rec job.Record, begun bool) {
+	if !begun {
+		t.p.Claims.Abandon(ctx, ticket)
+		return
+	}
+	t.p.Claims.Finish(ctx, ticket, []byte(rec.State))
+}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -175,10 +175,15 @@
 	if err := jsonhttp.Decode(c, &in); err != nil {
 		return err
 	}
+	key := c.Request().Header.Get(HeaderKey)
+	if len(key) > maxIDBytes {
+		return fault.WithField(fault.BadRequest, HeaderKey, "is over %d bytes", maxIDBytes)
+	}
 	r, err := s.record(in)
 	if err != nil {
 		return err
 	}
+	r.ID = job.NewID(r.Account, key)
 	if err := s.Jobs.Submit(c.Request().Context(), r); err != nil {
 		return err
 	}
@@ -212,7 +217,7 @@
 		}
 	}
 	return job.Record{
-		ID: uuid.NewString(), Account: in.Account, Kind: in.Kind, DataCentre: s.DataCentre,
+		Account: in.Account, Kind: in.Kind, DataCentre: s.DataCentre,
 		Rank: kind.Class.Rank(), Tasks: in.Tasks, Accelerators: in.Accelerators, Adjacent: in.Adjacent,
 		Idempotent: kind.Idempotent, RunMS: in.RunMS, DeclaredMS: in.DeclaredMS,
 		SubmittedUnixMS: time.Now().UnixMilli(), State: job.Waiting, Sequence: 1,
--- /dev/null
+++ b/internal/standin/worker/part.go
@@ -0,0 +1,111 @@
+package worker
+
+import (
+	"time"
+
+	target "github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+const fullSpeed = 100
+
+// part is one part of a gang at the stand-in.
+type part struct {
+	status  target.PartStatus
+	expires time.Time
+	run     time.Duration
+	// done is the work up to since; from then on it grows by percent.
+	done    time.Duration
+	since   time.Time
+	percent int
+}
+
+// held reports whether the part holds its accelerators.
+func (p *part) held() bool {
+	return p.status.State == target.Running || p.status.State == target.Reserved
+}
+
+func (p *part) begin(now time.Time, run time.Duration) {
+	p.status.State = target.Running
+	p.run, p.since, p.percent = run, now, fullSpeed
+}
+
+// progress returns the work done by a time, at most the work of the run.
+func (p *part) progress(now time.Time) time.Duration {
+	return min(p.run, p.done+now.Sub(p.since)*time.Duration(p.percent)/fullSpeed)
+}
+
+// end returns the time at which the work is done at the present speed.
+func (p *part) end() time.Time {
+	return p.since.Add((p.run - p.done) * fullSpeed / time.Duration(p.percent))
+}
+
+// throttle changes the speed from now on.
+func (p *part) throttle(now time.Time, percent int) {
+	if p.status.State != target.Running {
+		return
+	}
+	p.done, p.since, p.percent = p.progress(now), now, percent
+}
+
+// settle ends the part when its work is done or its lease has run out. It
+// reports whether the part is to be dropped.
+func (p *part) settle(now time.Time) (drop bool) {
+	if p.status.State == target.Running {
+		p.status.ProgressMS = p.progress(minTime(now, p.expires)).Milliseconds()
+		if end := p.end(); !now.Before(end) && !p.expires.Before(end) {
+			p.status.State = target.Done
+			return false
+		}
+	}
+	if !p.held() || now.Before(p.expires) {
+		return false
+	}
+	if p.status.State == target.Reserved {
+		return true
+	}
+	p.status.State = target.Lapsed
+	return false
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+const (
+	usageLag   = 2 * time.Second
+	usageEvery = 500 * time.Millisecond
+)
+
+type usageSample struct {
+	at   time.Time
+	busy int
+}
+
+// sampleUsage records how many accelerators are in use. w.mu is held.
+func (w *Worker) sampleUsage(now time.Time) {
+	if n := len(w.usage); n > 0 && now.Sub(w.usage[n-1].at) < usageEvery {
+		return
+	}
+	s := usageSample{at: now}
+	for _, p := range w.parts {
+		if p.status.State == target.Running {
+			s.busy += len(p.status.Accelerators)
+		}
+	}
+	w.usage = append(w.usage, s)
+	for len(w.usage) > 1 && now.Sub(w.usage[1].at) >= usageLag {
+		w.usage = w.usage[1:]
+	}
+}
+
+// laggingUsage returns the oldest usage that is kept. w.mu is held.
+func (w *Worker) laggingUsage(now time.Time) target.Usage {
+	if len(w.usage) == 0 {
+		return target.Usage{}
+	}
+	s := w.usage[0]
+	return target.Usage{LagMS: now.Sub(s.at).Milliseconds(), BusyAccelerators: s.busy}
+}
--- a/internal/target/worker/worker.go
+++ b/internal/target/worker/worker.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
@@ -100,9 +101,32 @@
 	Accelerators int          `json:"accelerators"`
 	Epoch        uint64       `json:"epoch"`
 	Leaving      bool         `json:"leaving"`
+	Usage        Usage        `json:"usage"`
 	Parts        []PartStatus `json:"parts"`
 }
 
+// FieldEpoch is the field that a refusal of a too low epoch names.
+const FieldEpoch = "epoch"
+
+// IsEpochRefused reports whether a worker refused an order because it has seen
+// a higher epoch.
+func IsEpochRefused(err error) bool {
+	return fault.Is(err, fault.NotStarted) && fault.FieldOf(err) == FieldEpoch
+}
+
+// TookNoEffect reports whether an order that failed certainly had no effect.
+func TookNoEffect(err error) bool {
+	return fault.Lookup(fault.KindOf(err)).Outcome == fault.NotRun
+}
+
+// Usage is what the tasks of a worker used a while ago.
+type Usage struct {
+	// LagMS is the age of the figures in milliseconds.
+	LagMS int64 `json:"lag_ms"`
+	// BusyAccelerators is the number of accelerators that were in use.
+	BusyAccelerators int `json:"busy_accelerators"`
+}
+
 // Client calls one worker. Errors are of kind NotStarted when the worker
 // refused, Unreachable when no byte was sent and AnswerLost otherwise.
 type Client struct {
@@ -113,6 +137,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	c.Meter.Inc("worker_call_" + strings.TrimPrefix(path, "/v1/"))
 	h := jsonhttp.Client{BaseURL: "http://" + c.Address, HTTP: c.HTTP}
 	err := h.Call(ctx, method, path, in, out)
 	if err != nil {
