--- a/internal/control/planner/adopt.go
+++ b/internal/control/planner/adopt.go
@@ -80,11 +80,7 @@
 	t.state.Adopt(e.rec.Gang(), e.rec.Slots, now)
 	e.placed, e.begun = true, true
 	live, missing := t.readParts(e)
-	for id := range partsOf(e.rec.Slots) {
-		if m, ok := t.members[id]; ok {
-			m.leases[e.part()] = e
-		}
-	}
+	t.lease(e)
 	t.advance(e)
 	whole := live+missing == len(partsOf(e.rec.Slots))
 	if whole && !e.rec.CancelRequested {
@@ -182,7 +178,7 @@
 		return
 	}
 	t.state.Ended(e.rec.ID, time.Now())
-	t.release(e)
+	t.drop(e)
 	e.phase = ended
 	e.rec = r
 	e.dirty = false
--- a/internal/control/planner/checkpoint.go
+++ b/internal/control/planner/checkpoint.go
@@ -54,7 +54,7 @@
 	t.mu.Unlock()
 	var mu sync.Mutex
 	kept := make(map[string]worker.PartStatus, len(parts))
-	errs := t.eachPart(ctx, parts, false, func(ctx context.Context, id string, c *worker.Client) error {
+	errs := t.eachPart(ctx, parts, func(ctx context.Context, id string, c *worker.Client) error {
 		s, err := c.Checkpoint(ctx, worker.PartRequest{Part: part, Epoch: t.epoch})
 		if err != nil {
 			return err
--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -69,7 +69,7 @@
 
 func (t *term) execute(op operation) {
 	if op.kind == stopPart {
-		_ = t.call(t.ctx, op.worker, false, func(ctx context.Context, c *worker.Client) error {
+		_ = t.call(t.ctx, op.worker, func(ctx context.Context, c *worker.Client) error {
 			return c.Stop(ctx, worker.PartRequest{Part: op.part, Epoch: t.epoch})
 		})
 		return
--- a/internal/control/planner/member.go
+++ b/internal/control/planner/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -22,14 +23,12 @@
 	silent bool
 	// seen is the time at which the last answered report was asked for.
 	seen time.Time
-	// touched is the end of the last call that may have prolonged a lease.
-	touched time.Time
 	// due is the time of the next renewal.
 	due time.Time
 	// calling says that a renewal is in flight.
 	calling bool
-	// leases are the parts that are renewed, with their jobs.
-	leases map[worker.Part]*entry
+	// leases are the parts of the attempts that are not concluded.
+	leases map[worker.Part]*lease
 	// forget are ended parts that the next renewal lets the worker forget.
 	forget []worker.Part
 	// last is the last report; nil before the first.
@@ -38,6 +37,17 @@
 	sound bool
 }
 
+// lease is the lease of one part at one worker.
+type lease struct {
+	entry *entry
+	// released leases are not renewed any more.
+	released bool
+	// sending says that a call that may prolong the lease is in flight.
+	sending bool
+	// touched is the end of the last such call.
+	touched time.Time
+}
+
 // closed reports whether the worker gets no new work. One that has not reported
 // in this term gets none either.
 func (m *member) closed() bool {
@@ -80,10 +90,9 @@
 func (t *term) setWorker(vm vmlist.VM) {
 	m, ok := t.members[vm.ID]
 	if !ok || m.vm.Address != vm.Address {
-		client := &worker.Client{Address: vm.Address, Meter: t.p.Meter, HTTP: t.p.HTTP}
+		client := &worker.Client{Address: vm.Address, Meter: t.p.Meter, HTTP: t.p.newHTTP()}
 		if !ok {
-			now := time.Now()
-			m = &member{seen: now, touched: now, leases: make(map[worker.Part]*entry)}
+			m = &member{seen: time.Now(), leases: make(map[worker.Part]*lease)}
 			t.members[vm.ID] = m
 		}
 		m.client = client
@@ -117,9 +126,22 @@
 	return all
 }
 
-// call calls one worker. prolongs says that the call may prolong a lease. A
-// refused epoch ends the term.
-func (t *term) call(ctx context.Context, id string, prolongs bool, f func(ctx context.Context, c *worker.Client) error) error {
+// newHTTP returns a client with connections of its own, so that those to one
+// worker can be given up without the others.
+func (p *Planner) newHTTP() *http.Client {
+	if p.HTTP == nil {
+		return nil
+	}
+	transport, ok := p.HTTP.Transport.(*http.Transport)
+	if !ok {
+		return p.HTTP
+	}
+	return &http.Client{Transport: transport.Clone()}
+}
+
+// call calls one worker. After a call without an answer the next one goes on a
+// new connection. A refused epoch ends the term.
+func (t *term) call(ctx context.Context, id string, f func(ctx context.Context, c *worker.Client) error) error {
 	t.mu.Lock()
 	m, ok := t.members[id]
 	var c *worker.Client
@@ -133,10 +155,8 @@
 	ctx, cancel := context.WithTimeout(ctx, t.p.callTimeout())
 	defer cancel()
 	err := f(ctx, c)
-	if prolongs {
-		t.mu.Lock()
-		m.touched = time.Now()
-		t.mu.Unlock()
+	if fault.Is(err, fault.AnswerLost) && c.HTTP != nil {
+		c.HTTP.CloseIdleConnections()
 	}
 	if worker.IsEpochRefused(err) {
 		t.fenced()
@@ -156,7 +176,7 @@
 
 // eachPart calls f for all workers of a gang at once and returns their errors
 // by worker; those without an error are left out.
-func (t *term) eachPart(ctx context.Context, parts map[string]partSlots, prolongs bool,
+func (t *term) eachPart(ctx context.Context, parts map[string]partSlots,
 	f func(ctx context.Context, id string, c *worker.Client) error,
 ) map[string]error {
 	type result struct {
@@ -166,7 +186,7 @@
 	results := make(chan result, len(parts))
 	for id := range parts {
 		go func() {
-			err := t.call(ctx, id, prolongs, func(ctx context.Context, c *worker.Client) error { return f(ctx, id, c) })
+			err := t.call(ctx, id, func(ctx context.Context, c *worker.Client) error { return f(ctx, id, c) })
 			results <- result{id: id, err: err}
 		}()
 	}
--- a/internal/control/planner/renew.go
+++ b/internal/control/planner/renew.go
@@ -10,6 +10,9 @@
 const (
 	// renewalsPerLease is the number of renewals of a worker within one lease.
 	renewalsPerLease = 3
+	// renewRetries is the number of tries of a failed renewal within the time of
+	// one interval.
+	renewRetries = 4
 	// maxRenewInterval bounds the time until a worker's report that it leaves
 	// is read.
 	maxRenewInterval = 2500 * time.Millisecond
@@ -66,21 +69,30 @@
 	t.mu.Lock()
 	in := worker.RenewRequest{Epoch: t.epoch, LeaseMS: t.p.lease().Milliseconds(), Forget: m.forget}
 	m.forget = nil
-	for part := range m.leases {
-		in.Parts = append(in.Parts, part)
+	for part, l := range m.leases {
+		if !l.released {
+			l.sending = true
+			in.Parts = append(in.Parts, part)
+		}
 	}
 	id := m.vm.ID
 	t.mu.Unlock()
 	var status worker.Status
-	err := t.call(t.ctx, id, true, func(ctx context.Context, c *worker.Client) error {
+	err := t.call(t.ctx, id, func(ctx context.Context, c *worker.Client) error {
 		var err error
 		status, err = c.Renew(ctx, in)
 		return err
 	})
 	t.mu.Lock()
 	m.calling = false
+	for _, part := range in.Parts {
+		if l := m.leases[part]; l != nil {
+			l.sending, l.touched = false, time.Now()
+		}
+	}
 	if err != nil {
 		m.forget = append(m.forget, in.Forget...)
+		m.due = time.Now().Add(t.p.renewInterval() / renewRetries)
 	}
 	t.mu.Unlock()
 	if err != nil {
--- a/internal/control/planner/settle.go
+++ b/internal/control/planner/settle.go
@@ -58,7 +58,8 @@
 		shown[ps.Part] = true
 		decided = append(decided, t.takePart(m, ps, r.asked)...)
 	}
-	for part, e := range m.leases {
+	for part, l := range m.leases {
+		e := l.entry
 		if e.phase == running && !shown[part] && r.asked.After(e.confirmed) && e.parts[r.worker].State != worker.Done {
 			decided = append(decided, t.lost(e, r.worker, "is not there any more", true))
 		}
@@ -194,8 +195,8 @@
 		if !m.leaves() {
 			continue
 		}
-		for _, e := range m.leases {
-			if e.phase == running && e.parts[id].State != worker.Done {
+		for _, l := range m.leases {
+			if e := l.entry; e.phase == running && e.parts[id].State != worker.Done {
 				decided = append(decided, t.leave(e, m)...)
 			}
 		}
--- a/internal/control/planner/start.go
+++ b/internal/control/planner/start.go
@@ -148,23 +148,22 @@
 func (t *term) reserve(ctx context.Context, e *entry, a *attempt) error {
 	ctx, cancel := context.WithTimeout(ctx, t.startWindow())
 	defer cancel()
+	t.mu.Lock()
+	t.lease(e)
+	t.mu.Unlock()
 	lease := t.p.lease().Milliseconds()
-	errs := t.eachPart(ctx, a.parts, true, func(ctx context.Context, id string, c *worker.Client) error {
+	errs := t.eachPart(ctx, a.parts, func(ctx context.Context, id string, c *worker.Client) error {
 		return c.Reserve(ctx, worker.ReserveRequest{
 			Part: a.part(), Epoch: t.epoch, Accelerators: a.parts[id].accelerators, LeaseMS: lease,
 		})
 	})
+	t.mu.Lock()
+	t.lease(e)
+	t.mu.Unlock()
 	for id, err := range errs {
 		t.p.Meter.Inc("gang_reserve_failed")
 		return fault.Wrap(fault.KindOf(err), err, "reserve at worker %s", id)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id := range a.parts {
-		if m, ok := t.members[id]; ok {
-			m.leases[a.part()] = e
-		}
-	}
 	return nil
 }
 
@@ -249,7 +248,7 @@
 	var errs map[string]error
 	unsure := make(map[string]bool)
 	for {
-		errs = t.eachPart(ctx, left, false, func(ctx context.Context, id string, c *worker.Client) error {
+		errs = t.eachPart(ctx, left, func(ctx context.Context, id string, c *worker.Client) error {
 			return c.Start(ctx, worker.StartRequest{
 				Part: a.part(), Epoch: t.epoch, Tasks: a.parts[id].tasks,
 				RunMS: a.rec.RunMS - a.rec.CheckpointMS, Job: value,
--- a/internal/control/planner/stop.go
+++ b/internal/control/planner/stop.go
@@ -55,12 +55,12 @@
 	t.mu.Unlock()
 	began := time.Now()
 	for t.ctx.Err() == nil {
-		errs := t.eachPart(t.ctx, left, false, func(ctx context.Context, _ string, c *worker.Client) error {
+		errs := t.eachPart(t.ctx, left, func(ctx context.Context, _ string, c *worker.Client) error {
 			return c.Stop(ctx, worker.PartRequest{Part: part, Epoch: t.epoch})
 		})
 		maps.DeleteFunc(left, func(id string, _ partSlots) bool {
 			err, bad := errs[id]
-			return !bad || fault.Is(err, fault.NotFound) || t.lapsed(id, began)
+			return !bad || fault.Is(err, fault.NotFound) || t.lapsed(id, part, began)
 		})
 		if len(left) == 0 {
 			return
@@ -73,17 +73,20 @@
 	}
 }
 
-// lapsed reports whether the leases at a worker that are not renewed since a
-// time must have run out.
-func (t *term) lapsed(id string, since time.Time) bool {
+// lapsed reports whether the released lease of a part must have run out. since
+// is the time from which it was certainly not renewed at a worker that is gone.
+func (t *term) lapsed(id string, part worker.Part, since time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	lease := t.p.lease()
-	m, ok := t.members[id]
-	if !ok {
-		return time.Since(since) > lease
+	touched := since
+	if m, ok := t.members[id]; ok && m.leases[part] != nil {
+		l := m.leases[part]
+		if l.sending {
+			return false
+		}
+		touched = l.touched
 	}
-	return !m.calling && time.Since(m.touched) > lease
+	return time.Since(touched) > t.p.lease()
 }
 
 // conclude ends an attempt that is stopped: the job is queued again from its
@@ -96,8 +99,8 @@
 	}
 	e := op.entry
 	e.abort = nil
-	t.release(e)
 	t.advance(e)
+	t.drop(e)
 	switch {
 	case e.rec.CancelRequested:
 		t.finish(e, job.Cancelled, "cancelled by the caller")
--- a/internal/control/planner/term.go
+++ b/internal/control/planner/term.go
@@ -307,7 +307,7 @@
 // finish ends a job. t.mu is held.
 func (t *term) finish(e *entry, s job.State, reason string) {
 	t.state.Ended(e.rec.ID, time.Now())
-	t.release(e)
+	t.drop(e)
 	t.spend(e)
 	e.phase = ended
 	e.rec.State = s
@@ -318,8 +318,32 @@
 	notify(t.wake)
 }
 
+// lease lets the current attempt's leases be renewed. A lease may have been
+// prolonged up to now. t.mu is held.
+func (t *term) lease(e *entry) {
+	for id := range partsOf(e.rec.Slots) {
+		m, ok := t.members[id]
+		if !ok {
+			continue
+		}
+		if m.leases[e.part()] == nil {
+			m.leases[e.part()] = &lease{entry: e}
+		}
+		m.leases[e.part()].touched = time.Now()
+	}
+}
+
 // release stops the renewal of the current attempt's leases. t.mu is held.
 func (t *term) release(e *entry) {
+	for id := range partsOf(e.rec.Slots) {
+		if m, ok := t.members[id]; ok && m.leases[e.part()] != nil {
+			m.leases[e.part()].released = true
+		}
+	}
+}
+
+// drop forgets the current attempt's leases. t.mu is held.
+func (t *term) drop(e *entry) {
 	for id := range partsOf(e.rec.Slots) {
 		if m, ok := t.members[id]; ok {
 			delete(m.leases, e.part())
