Let a job return to a worker where its start failed

Ruled out: counting the worker as quarantined (it had failed one job only).

Change: a job avoids the worker for 5 s; the failures of distinct sound workers are still counted for good.

Before: start_refused and the burst fail. After: both pass, as does TestFailedStartIsTriedAgainWhereNoOtherWorkerIsLeft, which fails without the change.

--- a/internal/decide/gang/health.go
+++ b/internal/decide/gang/health.go
@@ -16,8 +16,19 @@
 	firstProbe = time.Minute
 	// lastProbe bounds the time between probes.
 	lastProbe = time.Hour
+	// avoidTime is the time in which a job avoids a worker where its start
+	// failed.
+	avoidTime = 5 * time.Second
 )
 
+// avoidance keeps a job from a worker where its start failed. It ends, since a
+// job may need every worker that there is.
+type avoidance struct {
+	js    *jobState
+	n     *node
+	until time.Time
+}
+
 // health is what failed starts say of a worker.
 type health struct {
 	// jobs are the distinct jobs that failed to start since the last success.
@@ -56,6 +67,7 @@
 		js.failedOn = make(map[string]bool)
 	}
 	js.failedOn[n.ID] = true
+	s.avoid(js, n)
 	sound := 0
 	for id := range js.failedOn {
 		if w := s.fleet.byID[id]; w != nil && !w.health.quarantined && len(w.health.jobs) == 1 {
@@ -68,6 +80,28 @@
 	}
 }
 
+func (s *State) avoid(js *jobState, n *node) {
+	if js.avoids == nil {
+		js.avoids = make(map[string]bool)
+	}
+	js.avoids[n.ID] = true
+	s.avoided = append(s.avoided, avoidance{js: js, n: n, until: s.now.Add(avoidTime)})
+}
+
+// forgive ends the avoidances whose time is over.
+func (s *State) forgive() {
+	kept := s.avoided[:0]
+	for _, a := range s.avoided {
+		if s.now.Before(a.until) {
+			kept = append(kept, a)
+			continue
+		}
+		delete(a.js.avoids, a.n.ID)
+		s.changed(a.n)
+	}
+	s.avoided = kept
+}
+
 func (s *State) quarantine(n *node, now time.Time) {
 	if n.health.quarantined || len(s.quarantined) >= max(1, int(quarantineShare*float64(len(s.fleet.nodes)))) {
 		return
--- /dev/null
+++ b/internal/decide/gang/health_test.go
@@ -0,0 +1,25 @@
+package gang
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A job whose start fails once starts again when it needs that worker.
+func TestFailedStartIsTriedAgainWhereNoOtherWorkerIsLeft(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	var s State
+	s.SetWorker(Worker{ID: "w1", Rack: "k1", Accelerators: 8})
+	s.SetWorker(Worker{ID: "w2", Rack: "k1", Accelerators: 8})
+	is.NoErr(s.Submit(Job{ID: "j1", Account: "a", Rank: 1, Tasks: 2, Accelerators: 8, Idempotent: true, Declared: time.Hour, Submitted: now}))
+	is.Equal(len(s.Plan(now)), 1)
+	s.StartFailed("j1", "w2", now)
+	s.Requeue("j1", time.Hour, now, "a start failed")
+	is.Equal(len(s.Plan(now.Add(avoidTime-time.Millisecond))), 0)
+	orders := s.Plan(now.Add(avoidTime))
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, Start)
+}
--- a/internal/decide/gang/place.go
+++ b/internal/decide/gang/place.go
@@ -38,7 +38,7 @@
 // mask returns the accelerators of a node that the job may use.
 func (v view) mask(n *node) uint64 {
 	v.s.fleet.steps++
-	if v.js.failedOn[n.ID] {
+	if v.js.avoids[n.ID] {
 		return 0
 	}
 	switch v.zone {
--- a/internal/decide/gang/plan.go
+++ b/internal/decide/gang/plan.go
@@ -26,6 +26,7 @@
 func (s *State) Plan(now time.Time) []Order {
 	s.now = now
 	s.probe()
+	s.forgive()
 	if s.recarve {
 		s.carve()
 	}
--- a/internal/decide/gang/state.go
+++ b/internal/decide/gang/state.go
@@ -32,6 +32,7 @@
 	// failed are the waiting jobs to be ended as failed.
 	failed      []*jobState
 	quarantined []*node
+	avoided     []avoidance
 	now         time.Time
 	off         guards
 }
@@ -81,8 +82,11 @@
 	// started is the time of the last Start order.
 	started time.Time
 	// guest is the job on whose reservation this one runs; nil for none.
-	guest    *jobState
+	guest *jobState
+	// failedOn names the workers where its start failed, and avoids those that
+	// it avoids at present.
 	failedOn map[string]bool
+	avoids   map[string]bool
 	// bad says that its start failed on several sound workers.
 	bad    bool
 	reason string
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -23,7 +23,7 @@
 	SilentAfter = 3 * time.Second
 	// RemoteSilentAfter is the same for a peer of another data centre, whose
 	// heartbeats come through two planners.
-	RemoteSilentAfter = 15 * time.Second
+	RemoteSilentAfter = 9 * time.Second
 	// ForgetAfter is the time without a heartbeat after which a peer is no
 	// longer called.
 	ForgetAfter = 10 * time.Minute
--- a/internal/peer/gossip/scope.go
+++ b/internal/peer/gossip/scope.go
@@ -13,7 +13,7 @@
 const (
 	// summaryRounds is the number of rounds between two heartbeats of the
 	// planner that carry the VMs of other data centres to its own.
-	summaryRounds = 5
+	summaryRounds = 3
 	// searchRounds is the number of rounds between two calls to an address
 	// that has not answered yet.
 	searchRounds = 5
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -274,6 +274,9 @@
 	return d.cmd.ProcessState.ExitCode()
 }
 
+// PID returns the process id.
+func (d *Daemon) PID() int { return d.cmd.Process.Pid }
+
 // Log returns what the process has logged.
 func (d *Daemon) Log() string { return d.log.String() }
 
