Move the store and the network in memory to a package of stand-ins

The benchmark of the configuration needs them too. Two tests did not notice that their guard was off: a fresh VM that does not ask its peers, and an edit on a restored store that writes only the changed sections.

--- a/internal/control/config/keeper_test.go
+++ b/internal/control/config/keeper_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/memory"
 )
 
 const inForceWithin = 10 * time.Second
@@ -23,17 +24,17 @@
 func TestRacingOperatorsLoseNoEdit(t *testing.T) {
 	is := is.New(t)
 	r := rand.New(rand.NewPCG(1, 1))
-	s := &kv{loseAnswer: func(string) bool { return r.IntN(5) == 0 }}
-	n := &network{}
-	vms := []*vm{n.add("a", "uppland-1", s), n.add("b", "dalarna-1", s)}
+	s := &memory.Store{LoseAnswer: func(string) bool { return r.IntN(5) == 0 }}
+	n := &memory.Network{}
+	vms := []*memory.VM{n.Add("a", "uppland-1", s), n.Add("b", "dalarna-1", s)}
 	var wg sync.WaitGroup
 	conflicts := make([]int, len(vms))
 	for i, v := range vms {
 		wg.Go(func() {
 			for j := range 100 {
-				id := fmt.Sprintf("%s-%d", v.name, j)
+				id := fmt.Sprintf("%s-%d", v.Name, j)
 				for {
-					_, err := v.edit(id, id)
+					_, err := edit(v, id, id)
 					if err == nil {
 						break
 					}
@@ -62,32 +63,32 @@
 }
 
 // fleet returns a running fleet of data centres with two VMs each.
-func fleet(n *network, s *kv, dataCentres int) []*vm {
-	var vms []*vm
+func fleet(n *memory.Network, s *memory.Store, dataCentres int) []*memory.VM {
+	var vms []*memory.VM
 	for i := range dataCentres {
 		for j := range 2 {
 			dc := fmt.Sprintf("dc-%d", i)
-			vms = append(vms, n.add(fmt.Sprintf("%s-%d", dc, j), dc, s).start())
+			vms = append(vms, n.Add(fmt.Sprintf("%s-%d", dc, j), dc, s).Start())
 		}
 	}
 	time.Sleep(2 * time.Second)
 	return vms
 }
 
-func stopAll(vms []*vm) {
+func stopAll(vms []*memory.VM) {
 	for _, v := range vms {
-		v.kill()
+		v.Kill()
 	}
 }
 
 // expectInForce fails unless a version is in force on all VMs in time.
-func expectInForce(t *testing.T, vms []*vm, version uint64) {
+func expectInForce(t *testing.T, vms []*memory.VM, version uint64) {
 	t.Helper()
 	end := time.Now().Add(inForceWithin)
 	for _, v := range vms {
 		for v.Current().Version < version {
 			if time.Now().After(end) {
-				t.Fatalf("%s has version %d, not %d", v.name, v.Current().Version, version)
+				t.Fatalf("%s has version %d, not %d", v.Name, v.Current().Version, version)
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -97,7 +98,7 @@
 // The edits of a day come in a tenth of its time.
 func TestInForceAtTenTimesTheRateOfADay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 3)
 		defer stopAll(vms)
 		const changes = 3200
@@ -121,20 +122,20 @@
 
 func TestBurstIsInForceWhenTheWatcherDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 8)
 		defer stopAll(vms)
 		for i := range 20 {
 			v := vms[(2*i+1)%len(vms)]
 			for j := 0; ; j++ {
-				if _, err := v.edit(fmt.Sprint(i), fmt.Sprint(i)); err == nil {
+				if _, err := edit(v, fmt.Sprint(i), fmt.Sprint(i)); err == nil {
 					break
 				} else if !fault.Is(err, fault.Conflict) || j > 3 {
 					t.Fatal(err)
 				}
 			}
 		}
-		vms[2].kill()
+		vms[2].Kill()
 		expectInForce(t, slices.Delete(slices.Clone(vms), 2, 3), 20)
 	})
 }
@@ -143,30 +144,30 @@
 // spread the edit, and a watching VM dies just before it.
 func TestInForceByWatchWhenTheWatcherDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, s := &network{cut: func(a, b string) bool { return a != b }}, &kv{}
+		n, s := &memory.Network{Cut: func(a, b string) bool { return a != b }}, &memory.Store{}
 		vms := fleet(n, s, 2)
 		defer stopAll(vms)
-		vms[2].kill()
-		vms[0].mustEdit(t, "x")
-		expectInForce(t, []*vm{vms[0], vms[1], vms[3]}, 1)
+		vms[2].Kill()
+		mustEdit(t, vms[0], "x")
+		expectInForce(t, []*memory.VM{vms[0], vms[1], vms[3]}, 1)
 	})
 }
 
 func TestOutageSpreadsByPeersAndRefusesEdits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 2)
 		defer func() { stopAll(vms) }()
-		vms[0].mustEdit(t, "x")
-		s.setDown(true)
+		mustEdit(t, vms[0], "x")
+		s.SetDown(true)
 		expectInForce(t, vms, 1)
-		_, err := vms[0].edit("y", "y")
+		_, err := edit(vms[0], "y", "y")
 		is.True(fault.Is(err, fault.StoreUnavailable))
-		fresh := n.add("dc-1-9", "dc-1", s)
+		fresh := n.Add("dc-1-9", "dc-1", s)
 		err = fresh.Begin(context.Background())
 		is.True(strings.Contains(err.Error(), "neither the store nor a peer"))
-		vms = append(vms, fresh.start())
+		vms = append(vms, fresh.Start())
 		time.Sleep(2 * time.Second)
 		is.NoErr(fresh.Begin(context.Background()))
 		is.Equal(fresh.Current().Version, uint64(1))
@@ -176,35 +177,35 @@
 func TestRestoredStoreLowersNoVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 2)
 		defer func() { stopAll(vms) }()
 		for i := range 3 {
-			vms[0].mustEdit(t, fmt.Sprint("before-", i))
+			mustEdit(t, vms[0], fmt.Sprint("before-", i))
 		}
-		old := s.copyOf()
+		old := s.Copy()
 		for i := range 4 {
-			vms[0].mustEdit(t, fmt.Sprint("after-", i))
+			mustEdit(t, vms[0], fmt.Sprint("@after-", i))
 		}
 		expectInForce(t, vms, 7)
-		s.restore(old)
+		s.Restore(old)
 		time.Sleep(2 * time.Minute)
 		for _, v := range vms {
 			is.Equal(v.Current().Version, uint64(7))
 		}
 		is.True(vms[0].Meter.Count("alarm_config_version_lower") > 0)
 		// A fresh VM reads version 3 in the store and 7 at its peers.
-		fresh := n.add("dc-1-9", "dc-1", s)
-		vms = append(vms, fresh.start())
+		fresh := n.Add("dc-1-9", "dc-1", s)
 		time.Sleep(2 * time.Second)
 		is.NoErr(fresh.Begin(context.Background()))
 		is.Equal(fresh.Current().Version, uint64(7))
-		h := fresh.mustEdit(t, "next")
+		vms = append(vms, fresh.Start())
+		h := mustEdit(t, fresh, "next")
 		is.Equal(h.Version, uint64(8))
 		expectInForce(t, vms, 8)
 		is.Equal(len(reasons(vms[0].Current().Document)), 8)
 		// What was written is whole: a VM with no peers reads it.
-		alone := (&network{}).add("alone", "dc-0", s)
+		alone := (&memory.Network{}).Add("alone", "dc-0", s)
 		is.NoErr(alone.Begin(context.Background()))
 		is.Equal(alone.Current().Document, fresh.Current().Document)
 	})
@@ -214,19 +215,19 @@
 func TestEditOnRestoredStoreTakesAFreshNumber(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 2)
 		defer stopAll(vms)
-		vms[0].mustEdit(t, "one")
+		mustEdit(t, vms[0], "one")
 		expectInForce(t, vms, 1)
-		old := s.copyOf()
-		vms[0].mustEdit(t, "two")
-		vms[0].mustEdit(t, "three")
-		s.restore(old)
+		old := s.Copy()
+		mustEdit(t, vms[0], "two")
+		mustEdit(t, vms[0], "three")
+		s.Restore(old)
 		time.Sleep(time.Second)
 		_, err := vms[3].Apply(context.Background(), config.Edit{BaseVersion: 1, EditID: "x", Author: "ola", Reason: "x", TOML: document("x")}, time.Now())
 		is.True(fault.Is(err, fault.Conflict))
-		h := vms[3].mustEdit(t, "four")
+		h := mustEdit(t, vms[3], "four")
 		is.Equal(h.Version, uint64(4))
 		is.Equal(reasons(h.Document), []string{"one", "two", "three", "four"})
 	})
@@ -235,23 +236,20 @@
 func TestLostAnswerIsResolved(t *testing.T) {
 	is := is.New(t)
 	lose := true
-	s := &kv{loseAnswer: func(string) bool { return lose }}
-	v, o := (&network{}).add("a", "dc", s), (&network{}).add("b", "dc", s)
-	h := v.mustEdit(t, "x")
+	s := &memory.Store{LoseAnswer: func(string) bool { return lose }}
+	v, o := (&memory.Network{}).Add("a", "dc", s), (&memory.Network{}).Add("b", "dc", s)
+	h := mustEdit(t, v, "x")
 	is.Equal(h.Version, uint64(1))
 	// The answer is lost and the store is down: the outcome is unknown, and
 	// the same edit is accepted once, also after another one.
-	s.loseAnswer = func(key string) bool {
-		s.down = key == config.HeadKey
-		return key == config.HeadKey
-	}
-	_, err := v.edit("y", "y")
+	s.DownAfter = config.HeadKey
+	_, err := edit(v, "y", "y")
 	is.True(fault.Is(err, fault.ClaimUnresolved))
-	lose, s.loseAnswer = false, nil
-	s.setDown(false)
+	lose, s.DownAfter = false, ""
+	s.SetDown(false)
 	is.NoErr(o.Load(context.Background()))
-	o.mustEdit(t, "z")
-	h, err = v.edit("y", "y")
+	mustEdit(t, o, "z")
+	h, err = edit(v, "y", "y")
 	is.NoErr(err)
 	is.Equal(h.Version, uint64(3))
 	is.Equal(reasons(h.Document), []string{"x", "y", "z"})
@@ -260,7 +258,7 @@
 func TestMoveOfAHomeTakesTwoEdits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n, s := &network{}, &kv{}
+		n, s := &memory.Network{}, &memory.Store{}
 		vms := fleet(n, s, 1)
 		defer stopAll(vms)
 		apply := func(base uint64, home string) error {
@@ -311,31 +309,31 @@
 // section but not yet the head.
 func TestRemovalSparesAPendingEdit(t *testing.T) {
 	is := is.New(t)
-	s, n := &kv{}, &network{}
-	a, b := n.add("a", "dc", s), n.add("b", "dc", s)
+	s, n := &memory.Store{}, &memory.Network{}
+	a, b := n.Add("a", "dc", s), n.Add("b", "dc", s)
 	written, removed, done := make(chan bool), make(chan bool), make(chan error)
-	b.KV = &hooked{s, func(call, key string) {
+	b.KV = &memory.Hooked{Store: s, Before: func(call, key string) {
 		if call == "put" && key == config.HeadKey {
 			close(written)
 			<-removed
 		}
 	}}
-	a.KV = &hooked{s, func(call, key string) {
+	a.KV = &memory.Hooked{Store: s, Before: func(call, key string) {
 		if call == "list" && key == "config" {
 			go func() {
 				_ = b.Load(context.Background())
-				_, err := b.edit("pending", "pending")
+				_, err := edit(b, "pending", "pending")
 				done <- err
 			}()
 			<-written
 		}
 	}}
 	for i := range 64 {
-		a.mustEdit(t, fmt.Sprint(i))
+		mustEdit(t, a, fmt.Sprint(i))
 	}
 	close(removed)
 	is.NoErr(<-done)
-	fresh := n.add("c", "dc", s)
+	fresh := n.Add("c", "dc", s)
 	is.NoErr(fresh.Load(context.Background()))
 	is.Equal(fresh.Current().Version, uint64(65))
 	sections, _, _ := s.List(context.Background(), "config/sections/")
--- /dev/null
+++ b/internal/standin/memory/store.go
@@ -0,0 +1,196 @@
+// Package memory is a store and a network of VMs in memory, for tests and
+// benchmarks of what the VMs do together.
+package memory
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
+)
+
+// Store is a store in memory. The zero value is empty.
+type Store struct {
+	// LoseAnswer tells whether the answer to a write is lost after the effect;
+	// nil means never.
+	LoseAnswer func(key string) bool
+	// DownAfter is the key whose next write takes effect and takes the store
+	// down; empty for none.
+	DownAfter string
+
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	revision uint64
+	changed  chan struct{}
+	down     bool
+	calls    map[string]int
+}
+
+// Get returns the entry of a key.
+func (s *Store) Get(_ context.Context, key string) (store.Entry, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("get")
+	if s.down {
+		return store.Entry{}, false, fault.New(fault.StoreUnavailable, "down")
+	}
+	e, ok := s.entries[key]
+	return e, ok, nil
+}
+
+// List returns the entries whose keys begin with prefix.
+func (s *Store) List(_ context.Context, prefix string) ([]store.Entry, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("list")
+	if s.down {
+		return nil, 0, fault.New(fault.StoreUnavailable, "down")
+	}
+	var all []store.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, e)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	return all, s.revision, nil
+}
+
+// Put writes a key whose revision is ifRevision.
+func (s *Store) Put(_ context.Context, key string, value []byte, ifRevision uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("put")
+	if s.down {
+		return 0, fault.New(fault.StoreUnavailable, "down")
+	}
+	if s.entries[key].Revision != ifRevision {
+		return 0, fault.New(fault.Conflict, "revision")
+	}
+	if s.entries == nil {
+		s.entries = make(map[string]store.Entry)
+	}
+	s.revision++
+	s.entries[key] = store.Entry{Key: key, Value: value, Revision: s.revision}
+	s.wake()
+	if key == s.DownAfter {
+		s.down = true
+	}
+	if s.LoseAnswer != nil && s.LoseAnswer(key) {
+		return 0, fault.New(fault.ClaimUnresolved, "the answer was lost")
+	}
+	return s.revision, nil
+}
+
+// Delete deletes a key.
+func (s *Store) Delete(_ context.Context, key string, _ uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("delete")
+	delete(s.entries, key)
+	return nil
+}
+
+// count counts a call. s.mu is held.
+func (s *Store) count(call string) {
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[call]++
+}
+
+// Calls returns the number of calls of all kinds.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.calls {
+		n += c
+	}
+	return n
+}
+
+// wake wakes the watches. s.mu is held.
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// Watch waits until the key prefix changes after a revision.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]store.Entry, uint64, error) {
+	s.mu.Lock()
+	s.count("watch")
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		e, ok := s.entries[prefix]
+		rev, down := s.revision, s.down
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if down {
+			return nil, 0, fault.New(fault.StoreUnavailable, "down")
+		}
+		if ok && e.Revision > after {
+			return []store.Entry{e}, rev, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// Copy and restore make and put back a copy of the whole store.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Store{entries: make(map[string]store.Entry), revision: s.revision}
+	for k, e := range s.entries {
+		c.entries[k] = e
+	}
+	return c
+}
+
+// Restore puts a copy back, its revision included.
+func (s *Store) Restore(c *Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.revision = c.Copy().entries, c.revision
+	s.wake()
+}
+
+// SetDown makes every call fail, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// Hooked is a store whose lists and writes can be held up.
+type Hooked struct {
+	*Store
+	// Before is called with the call and its key.
+	Before func(call, key string)
+}
+
+// List calls Before and lists.
+func (h *Hooked) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	h.Before("list", prefix)
+	return h.Store.List(ctx, prefix)
+}
+
+// Put calls Before and writes.
+func (h *Hooked) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error) {
+	h.Before("put", key)
+	return h.Store.Put(ctx, key, value, ifRevision)
+}
