--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -55,9 +55,7 @@
 		t.Fatal(err)
 	}
 	s.listed = list.VMs
-	for id, d := range s.fleet.Daemons {
-		s.vms[id] = &process{Daemon: d}
-	}
+	s.nameDaemons()
 	s.checker = &checker{workers: s.fleet.Workers, limit: doc.Defaults.Lease.Duration, since: make(map[worker.Part]time.Time)}
 	done := make(chan struct{})
 	var wg sync.WaitGroup
@@ -69,6 +67,30 @@
 	return s
 }
 
+// nameDaemons calls the planner "lead" and the second VM "other".
+func (s *scene) nameDaemons() {
+	for _, d := range s.fleet.Daemons {
+		f, err := d.FleetStatus()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for _, v := range f.VMs {
+			if v.Planner {
+				s.vms["lead"] = &process{Daemon: s.fleet.Daemons[v.VMID]}
+			}
+		}
+		break
+	}
+	for id, d := range s.fleet.Daemons {
+		if lead := s.vms["lead"].(*process); d != lead.Daemon {
+			s.vms["other"] = &process{Daemon: s.fleet.Daemons[id]}
+		}
+	}
+}
+
+// daemon returns the daemon of a name.
+func (s *scene) daemon(name string) *fleet.Daemon { return s.vms[name].(*process).Daemon }
+
 // until waits for a condition.
 func (s *scene) until(ts *testscript.TestScript, what string, condition func() bool) {
 	end := time.Now().Add(30 * time.Second)
@@ -176,13 +198,13 @@
 	modes := map[string]relay.Mode{"pass": relay.Pass, "refuse": relay.Refuse, "silent": relay.Silent}
 	r, ok := s.fleet.WorkerRelays[args[0]]
 	if !ok {
-		r = s.fleet.Daemons[args[0]].Relay
+		r = s.daemon(args[0]).Relay
 	}
 	switch {
 	case args[1] == "frozen":
 		r.FreezeOpen()
 	case len(args) > 2:
-		r.Set(s.fleet.Daemons[args[2]].IP, modes[args[1]])
+		r.Set(s.daemon(args[2]).IP, modes[args[1]])
 	default:
 		r.SetAll(modes[args[1]])
 	}
