Decide the fate of single starts at the worker stand-in

A dropped answer was ordered for the next call, which a renewal took; the scripts now decide for each kept-back start whether it, or its answer, is lost.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -103,7 +103,7 @@
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log, Claims: claims,
 	}
 	d.planner = &planner.Planner{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
+		DataCentre: d.settings.DataCentre, VMID: d.settings.VMID, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Claims: claims, Meter: d.meter, Log: d.log,
 		HTTP: &http.Client{Transport: transport(d.settings.Listen.Peers)},
 	}
--- a/internal/control/job/desk.go
+++ b/internal/control/job/desk.go
@@ -58,9 +58,11 @@
 	if err := d.Planner.Fits(r); err != nil {
 		return err
 	}
-	known, err := d.known(ctx, r)
-	if known || err != nil {
-		return err
+	if r.Keyed() {
+		known, err := d.known(ctx, r)
+		if known || err != nil {
+			return err
+		}
 	}
 	if err := d.pending.add(r); err != nil {
 		return err
@@ -76,7 +78,7 @@
 	return nil
 }
 
-// known reports whether the submission was taken before. The error is of kind
+// known reports whether the keyed submission was taken before. The error is of kind
 // KeyReused when its id belongs to another request.
 func (d *Desk) known(ctx context.Context, r Record) (bool, error) {
 	views, err := d.List(ctx, r.ID, false)
--- /dev/null
+++ b/internal/control/job/desk_test.go
@@ -0,0 +1,142 @@
+package job
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+)
+
+// fakePlanner refuses submissions until it is ready.
+type fakePlanner struct {
+	Planner
+	ready bool
+	jobs  map[string]Record
+}
+
+func (p *fakePlanner) Fits(Record) error { return nil }
+func (p *fakePlanner) Submit(_ context.Context, r Record) error {
+	if !p.ready {
+		return fault.New(fault.NotReady, "no term")
+	}
+	p.jobs[r.ID] = r
+	return nil
+}
+
+func (p *fakePlanner) Jobs(id string) []Record {
+	if r, ok := p.jobs[id]; ok {
+		return []Record{r}
+	}
+	return nil
+}
+
+func (p *fakePlanner) Cancel(_ context.Context, id string) error {
+	if _, ok := p.jobs[id]; !ok {
+		return fault.New(fault.NotFound, "%s", id)
+	}
+	return nil
+}
+
+type fakePeers struct {
+	Peers
+	self *peerv1.Vm
+}
+
+func (p fakePeers) Planner(string) *peerv1.Vm { return p.self }
+
+// fakeRecords fails with each of its errors once.
+type fakeRecords struct {
+	errs  []error
+	saved int
+}
+
+func (r *fakeRecords) Save(context.Context, Record) error {
+	if len(r.errs) > 0 {
+		err := r.errs[0]
+		r.errs = r.errs[1:]
+		return err
+	}
+	r.saved++
+	return nil
+}
+
+func newDesk(ready bool, errs ...error) (*Desk, *fakePlanner, *fakeRecords) {
+	self := &peerv1.Vm{VmId: "a"}
+	p := &fakePlanner{ready: ready, jobs: make(map[string]Record)}
+	records := &fakeRecords{errs: errs}
+	return &Desk{Self: self, Planner: p, Peers: fakePeers{self: self}, Records: records, Meter: &meter.Meter{}}, p, records
+}
+
+func TestSubmissionOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		ready   bool
+		err     error
+		kind    fault.Kind
+		found   bool
+		arrives bool
+	}{
+		{"kept and handed over", true, nil, fault.OK, true, true},
+		{"kept while no planner is ready", false, nil, fault.OK, true, true},
+		{"record may be kept", true, fault.New(fault.ClaimUnresolved, "x"), fault.ClaimUnresolved, true, true},
+		{"record not kept", true, fault.New(fault.StoreUnavailable, "x"), fault.StoreUnavailable, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var errs []error
+				if tt.err != nil {
+					errs = append(errs, tt.err)
+				}
+				d, p, _ := newDesk(tt.ready, errs...)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := Record{ID: NewID("st-anne", "k"), Account: "st-anne", Tasks: 1, State: Waiting}
+				is.Equal(fault.KindOf(d.Submit(ctx, r)), tt.kind)
+				views, err := d.List(ctx, r.ID, false)
+				is.NoErr(err)
+				is.Equal(len(views) == 1, tt.found)
+				p.ready = true
+				go d.Run(ctx)
+				time.Sleep(3 * resendInterval)
+				synctest.Wait()
+				_, arrived := p.jobs[r.ID]
+				is.Equal(arrived, tt.arrives)
+				is.Equal(len(d.pending.all()), 0)
+			})
+		})
+	}
+}
+
+func TestKeyedSubmissions(t *testing.T) {
+	is := is.New(t)
+	d, p, records := newDesk(true)
+	r := Record{ID: NewID("st-anne", "k"), Account: "st-anne", Tasks: 1}
+	is.NoErr(d.Submit(t.Context(), r))
+	is.NoErr(d.Submit(t.Context(), r))
+	is.Equal(records.saved, 1)
+	is.Equal(len(p.jobs), 1)
+	r.Tasks = 2
+	is.True(fault.Is(d.Submit(t.Context(), r), fault.KeyReused))
+	is.True(NewID("st-anne", "k") != NewID("st-ann", "ek"))
+	fresh := NewID("st-anne", "")
+	is.True(NewID("st-anne", "") != fresh)
+}
+
+func TestCancelOfAWaitingSubmissionIsNotDenied(t *testing.T) {
+	is := is.New(t)
+	d, p, _ := newDesk(false)
+	r := Record{ID: NewID("st-anne", "k"), Account: "st-anne"}
+	is.NoErr(d.Submit(t.Context(), r))
+	is.True(fault.Is(d.Cancel(t.Context(), r.ID), fault.NotReady))
+	is.True(fault.Is(d.Cancel(t.Context(), "other"), fault.NotFound))
+	p.ready = true
+	is.NoErr(d.Cancel(t.Context(), r.ID))
+}
--- a/internal/control/job/job.go
+++ b/internal/control/job/job.go
@@ -83,6 +83,12 @@
 	return uuid.NewSHA1(idNamespace, []byte(strconv.Quote(account)+strconv.Quote(key))).String()
 }
 
+// Keyed reports whether the id was made from a key.
+func (r *Record) Keyed() bool {
+	id, err := uuid.Parse(r.ID)
+	return err == nil && id.Version() == 5
+}
+
 // StoreKey returns the store's key of a job.
 func StoreKey(dataCentre, id string) string { return "jobs/" + dataCentre + "/" + id }
 
--- a/internal/control/planner/lead.go
+++ b/internal/control/planner/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -126,7 +127,7 @@
 	for _, s := range lists {
 		p.epoch = max(p.epoch, s.Epoch)
 	}
-	p.epoch++
+	p.epoch = nextEpoch(p.epoch, p.VMID)
 	t.epoch = p.epoch
 	p.mu.Unlock()
 	t.rebuild(records, lists, listed)
@@ -140,6 +141,17 @@
 	return t
 }
 
+// epochIDBits is the number of low bits of an epoch that come from the VM's id.
+const epochIDBits = 16
+
+// nextEpoch returns an epoch above seen. Two VMs that have seen the same epoch
+// get different ones, so that the workers hear only one of them.
+func nextEpoch(seen uint64, vmID string) uint64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(vmID))
+	return (seen>>epochIDBits+1)<<epochIDBits | uint64(h.Sum32())&(1<<epochIDBits-1)
+}
+
 // listAll asks all workers for their reports.
 func (t *term) listAll(ctx context.Context) map[string]worker.Status {
 	var mu sync.Mutex
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -50,7 +50,9 @@
 // exported fields are set before Run.
 type Planner struct {
 	DataCentre string
-	Config     func() config.Head
+	// VMID makes the epochs of different VMs differ.
+	VMID   string
+	Config func() config.Head
 	// Chosen reports whether this VM is the data centre's planner now.
 	Chosen  func() bool
 	Records Records
@@ -68,6 +70,8 @@
 	mu sync.Mutex
 	// vms are the workers on the platform's list; nil until it was read.
 	vms map[string]vmlist.VM
+	// empty is the data centre with all its workers and no job.
+	empty gang.State
 	// term is the present or last term; nil before the first.
 	term *term
 	// epoch is the highest epoch used or seen.
@@ -78,8 +82,10 @@
 func (p *Planner) SetWorkers(vms []vmlist.VM) {
 	p.mu.Lock()
 	p.vms = make(map[string]vmlist.VM, len(vms))
+	p.empty = gang.State{}
 	for _, vm := range vms {
 		p.vms[vm.ID] = vm
+		p.empty.SetWorker(gang.Worker{ID: vm.ID, Rack: vm.Rack, Accelerators: vm.Accelerators})
 	}
 	t := p.term
 	p.mu.Unlock()
@@ -123,11 +129,11 @@
 	if len(p.vms) == 0 {
 		return fault.New(fault.NotReady, "the workers of %s are not known yet", p.DataCentre)
 	}
-	var s gang.State
-	for _, vm := range p.vms {
-		s.SetWorker(gang.Worker{ID: vm.ID, Rack: vm.Rack, Accelerators: vm.Accelerators})
+	if err := p.empty.Submit(r.Gang()); err != nil {
+		return err
 	}
-	return s.Submit(r.Gang())
+	p.empty.Ended(r.ID, time.Now())
+	return nil
 }
 
 // Jobs returns all jobs, or the one of an id.
--- /dev/null
+++ b/internal/control/planner/planner_test.go
@@ -0,0 +1,81 @@
+package planner
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
+)
+
+func testTerm() *term {
+	p := &Planner{
+		Meter: &meter.Meter{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Config: func() config.Head { return config.Head{Document: config.DefaultDocument()} },
+	}
+	return newTerm(context.Background(), p)
+}
+
+func TestEpochsOfTwoVMsDiffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seen := rapid.Uint64Max(1<<60).Draw(t, "seen")
+		a, b := nextEpoch(seen, "vm-a"), nextEpoch(seen, "vm-b")
+		if a <= seen || b <= seen || a == b {
+			t.Fatalf("epochs %d and %d after %d", a, b, seen)
+		}
+	})
+}
+
+func TestOrdersAreTakenInTheirPhase(t *testing.T) {
+	tests := []struct {
+		name       string
+		kind       gang.OrderKind
+		phase      phase
+		idempotent bool
+		accepted   bool
+		counter    string
+	}{
+		{"start", gang.Start, waiting, true, true, ""},
+		{"start of a running gang", gang.Start, running, true, false, "planner_order_out_of_phase"},
+		{"pre-emption", gang.Preempt, running, true, true, "gang_preempted"},
+		{"pre-emption of a stopping gang", gang.Preempt, stopping, true, false, "planner_order_out_of_phase"},
+		{"pre-emption of a non-idempotent job", gang.Preempt, running, false, false, "planner_preempt_refused"},
+		{"kind of a later version", "resize", running, true, false, "planner_order_unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			term := testTerm()
+			term.jobs["j"] = &entry{rec: job.Record{ID: "j", Idempotent: tt.idempotent}, phase: tt.phase}
+			_, ok := term.accept(gang.Order{Kind: tt.kind, JobID: "j"})
+			is.Equal(ok, tt.accepted)
+			if tt.counter != "" {
+				is.Equal(term.p.Meter.Count(tt.counter), int64(1))
+			}
+		})
+	}
+}
+
+func TestCheckpointIsCommonToAllParts(t *testing.T) {
+	is := is.New(t)
+	e := &entry{
+		rec: job.Record{BaseMS: 100, CheckpointMS: 100, Slots: []gang.Slot{{Worker: "w1"}, {Worker: "w2"}}},
+		parts: map[string]worker.PartStatus{
+			"w1": {State: worker.Running, CheckpointMS: 70},
+			"w2": {State: worker.Lapsed, CheckpointMS: 40, ProgressMS: 90},
+		},
+	}
+	testTerm().advance(e)
+	is.Equal(e.rec.CheckpointMS, int64(140))
+	delete(e.parts, "w1")
+	testTerm().advance(e)
+	is.Equal(e.rec.CheckpointMS, int64(140)) // a lost report takes no kept work back
+}
--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/faults"
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/fleet"
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/relay"
+	standin "github.com/dogwoodworks/dogwoodworks/internal/standin/worker"
 	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
 )
 
@@ -243,7 +244,7 @@
 type hold struct {
 	arrived chan struct{}
 	decided chan struct{}
-	pass    bool
+	fate    standin.StartFate
 }
 
 // hold WORKER... keeps back the starts that arrive.
@@ -251,13 +252,13 @@
 	for _, id := range args {
 		h := &hold{arrived: make(chan struct{}, 1), decided: make(chan struct{})}
 		s.holds[id] = h
-		s.fleet.Workers[id].BeforeStart(func(worker.StartRequest) bool {
+		s.fleet.Workers[id].BeforeStart(func(worker.StartRequest) standin.StartFate {
 			select {
 			case h.arrived <- struct{}{}:
 			default:
 			}
 			<-h.decided
-			return h.pass
+			return h.fate
 		})
 	}
 }
@@ -269,16 +270,25 @@
 	}
 }
 
-// pass WORKER... lets the starts that were kept back, and later ones, take
-// effect; with a negation, those that were kept back are lost.
-func (s *scene) pass(_ *testscript.TestScript, neg bool, args []string) {
-	for _, id := range args {
+// pass FATE WORKER... decides the starts that were kept back; later ones take
+// effect. FATE is whole, lost, unanswered or silent.
+func (s *scene) pass(_ *testscript.TestScript, _ bool, args []string) {
+	fates := map[string]standin.StartFate{
+		"whole": standin.StartNormally, "lost": standin.LoseStart,
+		"unanswered": standin.LoseAnswer, "silent": standin.SilenceAnswer,
+	}
+	for _, id := range args[1:] {
 		s.fleet.Workers[id].BeforeStart(nil)
-		s.holds[id].pass = !neg
+		s.holds[id].fate = fates[args[0]]
 		close(s.holds[id].decided)
 	}
 }
 
+// started JOB N waits until the job's parts were started N times.
+func (s *scene) started(ts *testscript.TestScript, _ bool, args []string) {
+	s.until(ts, args[0]+" has starts", func() bool { return fmt.Sprint(s.startsOf(s.jobs[args[0]])) == args[1] })
+}
+
 // counter VM NAME waits until a counter is positive; with a negation it must be 0.
 func (s *scene) counter(ts *testscript.TestScript, neg bool, args []string) {
 	if neg {
@@ -290,6 +300,24 @@
 	s.until(ts, args[1]+" is counted", func() bool { return s.vms[args[0]].counters()[args[1]] > 0 })
 }
 
+// counted VM NAME checks that a counter is positive now.
+func (s *scene) counted(ts *testscript.TestScript, _ bool, args []string) {
+	if s.vms[args[0]].counters()[args[1]] == 0 {
+		ts.Fatalf("%s is 0", args[1])
+	}
+}
+
+// refused VM... waits until one of the VMs was refused for its epoch.
+func (s *scene) refused(ts *testscript.TestScript, _ bool, args []string) {
+	s.until(ts, "an epoch is refused", func() bool {
+		n := int64(0)
+		for _, name := range args {
+			n += s.vms[name].counters()["planner_epoch_refused"]
+		}
+		return n > 0
+	})
+}
+
 // empty WORKER waits until no part runs at a worker.
 func (s *scene) empty(ts *testscript.TestScript, _ bool, args []string) {
 	s.until(ts, args[0]+" is empty", func() bool {
--- a/internal/proof/gangs/vm_test.go
+++ b/internal/proof/gangs/vm_test.go
@@ -123,7 +123,7 @@
 	kv := &store.Client{BaseURL: "http://" + f.PlatformRelay.Address(), Meter: &l.meter, HTTP: client}
 	records := &job.Records{Keeper: &record.Records{KV: kv}}
 	l.planner = &planner.Planner{
-		DataCentre: dataCentre, Config: func() config.Head { return config.Head{Version: 1, Document: doc} },
+		DataCentre: dataCentre, VMID: self.VmId, Config: func() config.Head { return config.Head{Version: 1, Document: doc} },
 		Chosen: l.chosen.Load, Records: records, Meter: &l.meter, Log: slog.New(slog.DiscardHandler), HTTP: client,
 		Claims:             &claim.Book{Self: self, KV: kv, Meter: &l.meter, NewToken: uuid.NewString},
 		CheckpointInterval: checkpoints,
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -30,12 +30,26 @@
 	// starts counts the starts of each job.
 	starts map[string]int
 	calls  int
-	// beforeStart is called before a start takes effect; the start is lost when
-	// it returns false.
-	beforeStart func(in target.StartRequest) bool
+	// beforeStart is called before a start takes effect and decides its fate.
+	beforeStart func(in target.StartRequest) StartFate
 	usage       []usageSample
 }
 
+// StartFate says what becomes of a start.
+type StartFate int
+
+// The fates of a start.
+const (
+	// StartNormally lets the start take effect and answers it.
+	StartNormally StartFate = iota
+	// LoseStart cuts the connection without an effect.
+	LoseStart
+	// LoseAnswer lets the start take effect and cuts the connection.
+	LoseAnswer
+	// SilenceAnswer lets the start take effect and never answers.
+	SilenceAnswer
+)
+
 // DefaultAccelerators is the number of accelerators of a worker.
 const DefaultAccelerators = 8
 
@@ -76,9 +90,9 @@
 	return maps.Clone(w.starts)
 }
 
-// BeforeStart sets a function that is called before each start takes effect.
-// The start is lost, as if its sender had died, when f returns false.
-func (w *Worker) BeforeStart(f func(in target.StartRequest) bool) {
+// BeforeStart sets a function that is called before each start takes effect
+// and decides its fate; nil starts normally.
+func (w *Worker) BeforeStart(f func(in target.StartRequest) StartFate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.beforeStart = f
@@ -189,9 +203,28 @@
 	w.mu.Lock()
 	before := w.beforeStart
 	w.mu.Unlock()
-	if before != nil && !before(in) {
+	fate := StartNormally
+	if before != nil {
+		fate = before(in)
+	}
+	if fate == LoseStart {
 		panic(http.ErrAbortHandler)
 	}
+	err := w.begin(in)
+	switch {
+	case fate == LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case fate == SilenceAnswer:
+		<-c.Request().Context().Done()
+		return nil
+	case err != nil:
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// begin starts a reserved part once.
+func (w *Worker) begin(in target.StartRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -206,7 +239,7 @@
 	switch p.status.State {
 	case target.Reserved:
 	case target.Running, target.Done:
-		return c.NoContent(http.StatusNoContent)
+		return nil
 	default:
 		return fault.New(fault.NotStarted, "the part is %s", p.status.State)
 	}
@@ -222,7 +255,7 @@
 	p.status.Tasks = in.Tasks
 	p.status.Job = in.Job
 	p.begin(now, time.Duration(in.RunMS)*time.Millisecond)
-	return c.NoContent(http.StatusNoContent)
+	return nil
 }
 
 func (w *Worker) renew(c echo.Context) error {
@@ -253,7 +286,13 @@
 			p.status.Epoch = in.Epoch
 		}
 	}
-	return c.JSON(http.StatusOK, w.report(now))
+	s := w.report(now)
+	for i, ps := range s.Parts {
+		if slices.Contains(in.Parts, ps.Part) {
+			s.Parts[i].Job = nil
+		}
+	}
+	return c.JSON(http.StatusOK, s)
 }
 
 // report returns the worker's report. w.mu is held.
--- a/internal/target/worker/worker.go
+++ b/internal/target/worker/worker.go
@@ -156,7 +156,8 @@
 	return c.call(ctx, http.MethodPost, "/v1/start", in, nil)
 }
 
-// Renew renews leases and returns the worker's report.
+// Renew renews leases and returns the worker's report, without the records of
+// the parts that were renewed.
 func (c *Client) Renew(ctx context.Context, in RenewRequest) (Status, error) {
 	var s Status
 	err := c.call(ctx, http.MethodPost, "/v1/renew", in, &s)
