--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -107,7 +107,7 @@
 	claims := &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString}
 	d.dispatch = d.newDispatcher(claims)
 	d.planner = &planner.Planner{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
+		DataCentre: d.settings.DataCentre, VMID: d.settings.VMID, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Claims: claims, Meter: d.meter, Log: d.log,
 		HTTP: &http.Client{Transport: transport(d.settings.Listen.Peers)},
 	}
--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/faults"
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/fleet"
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/relay"
+	standin "github.com/dogwoodworks/dogwoodworks/internal/standin/worker"
 	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
 )
 
@@ -52,9 +53,7 @@
 		t.Fatal(err)
 	}
 	s.listed = list.VMs
-	for id, d := range s.fleet.Daemons {
-		s.vms[id] = &process{Daemon: d}
-	}
+	s.nameDaemons()
 	s.checker = &checker{workers: s.fleet.Workers, limit: doc.Defaults.Lease.Duration, since: make(map[worker.Part]time.Time)}
 	done := make(chan struct{})
 	var wg sync.WaitGroup
@@ -66,6 +65,30 @@
 	return s
 }
 
+// nameDaemons calls the planner "lead" and the second VM "other".
+func (s *scene) nameDaemons() {
+	for _, d := range s.fleet.Daemons {
+		f, err := d.FleetStatus()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for _, v := range f.VMs {
+			if v.Planner {
+				s.vms["lead"] = &process{Daemon: s.fleet.Daemons[v.VMID]}
+			}
+		}
+		break
+	}
+	for id, d := range s.fleet.Daemons {
+		if lead := s.vms["lead"].(*process); d != lead.Daemon {
+			s.vms["other"] = &process{Daemon: s.fleet.Daemons[id]}
+		}
+	}
+}
+
+// daemon returns the daemon of a name.
+func (s *scene) daemon(name string) *fleet.Daemon { return s.vms[name].(*process).Daemon }
+
 // until waits for a condition.
 func (s *scene) until(ts *testscript.TestScript, what string, condition func() bool) {
 	end := time.Now().Add(30 * time.Second)
@@ -173,13 +196,13 @@
 	modes := map[string]relay.Mode{"pass": relay.Pass, "refuse": relay.Refuse, "silent": relay.Silent}
 	r, ok := s.fleet.WorkerRelays[args[0]]
 	if !ok {
-		r = s.fleet.Daemons[args[0]].Relay
+		r = s.daemon(args[0]).Relay
 	}
 	switch {
 	case args[1] == "frozen":
 		r.FreezeOpen()
 	case len(args) > 2:
-		r.Set(s.fleet.Daemons[args[2]].IP, modes[args[1]])
+		r.Set(s.daemon(args[2]).IP, modes[args[1]])
 	default:
 		r.SetAll(modes[args[1]])
 	}
@@ -218,7 +241,7 @@
 type hold struct {
 	arrived chan struct{}
 	decided chan struct{}
-	pass    bool
+	fate    standin.StartFate
 }
 
 // hold WORKER... keeps back the starts that arrive.
@@ -226,13 +249,13 @@
 	for _, id := range args {
 		h := &hold{arrived: make(chan struct{}, 1), decided: make(chan struct{})}
 		s.holds[id] = h
-		s.fleet.Workers[id].BeforeStart(func(worker.StartRequest) bool {
+		s.fleet.Workers[id].BeforeStart(func(worker.StartRequest) standin.StartFate {
 			select {
 			case h.arrived <- struct{}{}:
 			default:
 			}
 			<-h.decided
-			return h.pass
+			return h.fate
 		})
 	}
 }
@@ -244,16 +267,25 @@
 	}
 }
 
-// pass WORKER... lets the starts that were kept back, and later ones, take
-// effect; with a negation, those that were kept back are lost.
-func (s *scene) pass(_ *testscript.TestScript, neg bool, args []string) {
-	for _, id := range args {
+// pass FATE WORKER... decides the starts that were kept back; later ones take
+// effect. FATE is whole, lost, unanswered or silent.
+func (s *scene) pass(_ *testscript.TestScript, _ bool, args []string) {
+	fates := map[string]standin.StartFate{
+		"whole": standin.StartNormally, "lost": standin.LoseStart,
+		"unanswered": standin.LoseAnswer, "silent": standin.SilenceAnswer,
+	}
+	for _, id := range args[1:] {
 		s.fleet.Workers[id].BeforeStart(nil)
-		s.holds[id].pass = !neg
+		s.holds[id].fate = fates[args[0]]
 		close(s.holds[id].decided)
 	}
 }
 
+// started JOB N waits until the job's parts were started N times.
+func (s *scene) started(ts *testscript.TestScript, _ bool, args []string) {
+	s.until(ts, args[0]+" has starts", func() bool { return fmt.Sprint(s.startsOf(s.jobs[args[0]])) == args[1] })
+}
+
 // counter VM NAME waits until a counter is positive; with a negation it must be 0.
 func (s *scene) counter(ts *testscript.TestScript, neg bool, args []string) {
 	if neg {
@@ -265,6 +297,24 @@
 	s.until(ts, args[1]+" is counted", func() bool { return s.vms[args[0]].counters()[args[1]] > 0 })
 }
 
+// counted VM NAME checks that a counter is positive now.
+func (s *scene) counted(ts *testscript.TestScript, _ bool, args []string) {
+	if s.vms[args[0]].counters()[args[1]] == 0 {
+		ts.Fatalf("%s is 0", args[1])
+	}
+}
+
+// refused VM... waits until one of the VMs was refused for its epoch.
+func (s *scene) refused(ts *testscript.TestScript, _ bool, args []string) {
+	s.until(ts, "an epoch is refused", func() bool {
+		n := int64(0)
+		for _, name := range args {
+			n += s.vms[name].counters()["planner_epoch_refused"]
+		}
+		return n > 0
+	})
+}
+
 // empty WORKER waits until no part runs at a worker.
 func (s *scene) empty(ts *testscript.TestScript, _ bool, args []string) {
 	s.until(ts, args[0]+" is empty", func() bool {
--- a/internal/proof/gangs/vm_test.go
+++ b/internal/proof/gangs/vm_test.go
@@ -123,8 +123,9 @@
 	kv := &store.Client{BaseURL: "http://" + f.PlatformRelay.Address(), Meter: &l.meter, HTTP: client}
 	records := &job.Records{Keeper: &record.Records{KV: kv}}
 	l.planner = &planner.Planner{
-		DataCentre: dataCentre, Config: func() config.Head { return config.Head{Header: config.Header{Version: 1}, Document: doc} },
-		Chosen: l.chosen.Load, Records: records, Meter: &l.meter, Log: slog.New(slog.DiscardHandler), HTTP: client,
+		DataCentre: dataCentre, VMID: self.VmId, Chosen: l.chosen.Load,
+		Config:  func() config.Head { return config.Head{Header: config.Header{Version: 1}, Document: doc} },
+		Records: records, Meter: &l.meter, Log: slog.New(slog.DiscardHandler), HTTP: client,
 		Claims:             &claim.Book{Self: self, KV: kv, Meter: &l.meter, NewToken: uuid.NewString},
 		CheckpointInterval: checkpoints,
 	}
