Check settings and input whole, and bound every listener

Settings: a problem found after decoding had no line, only equal addresses clashed, and three settings alone could come from flags.

An answer repeats at most 128 bytes of the input.

A kind that came over the wire was believed whatever it was: a target that answered status 500 with the kind overloaded made a request that may have run look as if it had not. A kind now counts only with its own status, and one that is not in the table becomes internal, whose outcome is unknown.

All listeners, that of the peers too, bound header, body, time to read, idle time and requests at once.

--- a/internal/cli/dogwoodd/dogwoodd.go
+++ b/internal/cli/dogwoodd/dogwoodd.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -25,27 +27,37 @@
 	Out, Err io.Writer
 	File     string
 	Print    bool
-	Level    string
-	Format   string
+	// Overrides are the settings that a flag or the environment gave, by name.
+	Overrides map[string]string
+	// Args is the command line; it tells flags from the environment.
+	Args []string
 }
 
+const environmentPrefix = "DOGWOODD"
+
 // New returns the command line.
-func New(out, errOut io.Writer) *ffcli.Command {
-	o := &Options{Out: out, Err: errOut}
+func New(out, errOut io.Writer, args []string) *ffcli.Command {
+	o := &Options{Out: out, Err: errOut, Overrides: make(map[string]string), Args: args}
 	runFlags := o.flags("dogwoodd")
 	checkFlags := o.flags("dogwoodd check")
-	checkFlags.BoolVar(&o.Print, "print", false, "print the settings in force")
-	options := []ff.Option{ff.WithEnvVarPrefix("DOGWOODD")}
+	checkFlags.BoolVar(&o.Print, "print", false, "print the settings in force and where they come from")
+	options := []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)}
 	check := &ffcli.Command{
 		Name: "check", ShortUsage: "dogwoodd check [flags] FILE", ShortHelp: "Check a settings file and start nothing",
-		FlagSet: checkFlags, Options: options,
+		LongHelp: "Check a settings file and start nothing.\n\nEXAMPLES\n  dogwoodd check /etc/dogwoodd.toml\n  dogwoodd check --print --log-level debug /etc/dogwoodd.toml",
+		FlagSet:  checkFlags, Options: options,
 		Exec: func(_ context.Context, args []string) error { return o.check(args) },
 	}
 	return &ffcli.Command{
 		Name: "dogwoodd", ShortUsage: "dogwoodd --settings FILE", ShortHelp: "Serve callers, operators and peers",
 		LongHelp: "Serve callers, operators and peers.\n\nEXAMPLES\n  dogwoodd --settings /etc/dogwoodd.toml\n  dogwoodd check --print /etc/dogwoodd.toml",
 		FlagSet:  runFlags, Options: options, Subcommands: []*ffcli.Command{check},
-		Exec: func(ctx context.Context, _ []string) error { return o.run(ctx) },
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return fault.WithField(fault.BadSettings, "arguments", "%q is not a command; accepted: check", args[0])
+			}
+			return o.run(ctx)
+		},
 	}
 }
 
@@ -53,46 +65,95 @@
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(o.Err)
 	fs.StringVar(&o.File, "settings", "", "settings `file` (DOGWOODD_SETTINGS)")
-	fs.StringVar(&o.Level, "log-level", "", "log level; the file's when empty (DOGWOODD_LOG_LEVEL)")
-	fs.StringVar(&o.Format, "log-format", "", "log format; the file's when empty (DOGWOODD_LOG_FORMAT)")
+	for _, setting := range settings.Names() {
+		usage := fmt.Sprintf("goes before %s in the file (%s)", setting, variable(setting))
+		fs.Func(settings.FlagName(setting), usage, func(v string) error {
+			o.Overrides[setting] = v
+			return nil
+		})
+	}
 	return fs
 }
 
-func (o *Options) load() (settings.Settings, error) {
+// variable returns the name of the environment variable of a setting.
+func variable(setting string) string {
+	return environmentPrefix + "_" + strings.ToUpper(strings.ReplaceAll(settings.FlagName(setting), "-", "_"))
+}
+
+// source tells whether an override came from a flag or from the environment.
+func (o *Options) source(setting string) settings.Source {
+	name := settings.FlagName(setting)
+	for _, a := range o.Args {
+		given, _, _ := strings.Cut(strings.TrimLeft(a, "-"), "=")
+		if strings.HasPrefix(a, "-") && given == name {
+			return settings.Source("--" + name)
+		}
+	}
+	return settings.Source(variable(setting))
+}
+
+// load reads and checks the settings.
+func (o *Options) load() (settings.Settings, settings.Sources, error) {
 	b, err := os.ReadFile(o.File)
 	if err != nil {
-		return settings.Settings{}, fault.WithField(fault.BadSettings, "--settings", "%v", err)
+		return settings.Settings{}, nil, fault.WithField(fault.BadSettings, "--settings", "%v", err)
 	}
 	s, problems := settings.Parse(o.File, b)
-	if o.Level != "" {
-		s.Log.Level = o.Level
-	}
-	if o.Format != "" {
-		s.Log.Format = o.Format
+	sources := make(settings.Sources)
+	for _, name := range slices.Sorted(maps.Keys(o.Overrides)) {
+		sources[name] = o.source(name)
+		if err := s.Set(name, o.Overrides[name]); err != nil {
+			problems = append(problems, settings.Problem{File: string(sources[name]), Field: name, Message: fmt.Sprintf("%q: %v", o.Overrides[name], err)})
+		}
 	}
 	if len(problems) == 0 {
-		problems = s.Check(o.File)
+		problems = s.Check(o.File, settings.FindLines(b), sources)
 	}
-	return s, settings.Error(problems)
+	return s, sources, settings.Error(problems)
 }
 
 func (o *Options) check(args []string) error {
-	if len(args) == 1 {
+	switch {
+	case len(args) == 1:
 		o.File = args[0]
+	case len(args) > 1:
+		return fault.WithField(fault.BadSettings, "arguments", "%d given; accepted: [flags] FILE", len(args))
 	}
-	s, err := o.load()
+	s, sources, err := o.load()
 	if err != nil {
 		return err
 	}
-	if !o.Print {
-		_, err = fmt.Fprintln(o.Out, "ok")
-		return err
+	if o.Print {
+		return o.print(&s, sources)
+	}
+	_, err = fmt.Fprintln(o.Out, "ok")
+	return err
+}
+
+// print prints the settings in force as TOML, each with its source.
+func (o *Options) print(s *settings.Settings, sources settings.Sources) error {
+	b, err := os.ReadFile(o.File)
+	if err != nil {
+		return fault.WithField(fault.BadSettings, "--settings", "%v", err)
 	}
-	return toml.NewEncoder(o.Out).Encode(s)
+	lines := settings.FindLines(b)
+	for _, name := range settings.Names() {
+		source, given := sources[name]
+		if !given {
+			source = "default"
+			if lines.Has(name) {
+				source = settings.Source(fmt.Sprintf("%s:%d", o.File, lines.Of(name)))
+			}
+		}
+		if _, err := fmt.Fprintf(o.Out, "%s = %s # %s\n", name, s.Text(name), source); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (o *Options) run(ctx context.Context) error {
-	s, err := o.load()
+	s, _, err := o.load()
 	if err != nil {
 		return err
 	}
@@ -100,9 +161,9 @@
 	if err != nil {
 		return fault.WithField(fault.BadSettings, "operators.token_file", "%v", err)
 	}
-	token := daemon.Token(b)
-	if token == "" {
-		return fault.WithField(fault.BadSettings, "operators.token_file", "%s is empty", s.Operators.TokenFile)
+	token, err := settings.ParseToken(b)
+	if err != nil {
+		return fault.WithField(fault.BadSettings, "operators.token_file", "%s %v", s.Operators.TokenFile, err)
 	}
 	return daemon.New(s, token, newLog(o.Err, s.Log)).Run(ctx)
 }
@@ -117,7 +178,7 @@
 
 // Run runs a command line and returns the exit code.
 func Run(ctx context.Context, out, errOut io.Writer, args []string) int {
-	cmd := New(out, errOut)
+	cmd := New(out, errOut, args)
 	if err := cmd.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return fault.ExitOK
--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -15,6 +15,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/settings"
 )
 
 // Factory is passed to the constructor of every command.
@@ -101,9 +102,9 @@
 	if err != nil {
 		return "", fault.Wrap(fault.Unauthorized, err, "read the token")
 	}
-	token := strings.TrimSpace(string(b))
-	if token == "" || strings.ContainsFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return "", fault.WithField(fault.Unauthorized, "--token-file", "%s holds no token; accepted: one word of printable ASCII", c.TokenFile)
+	token, err := settings.ParseToken(b)
+	if err != nil {
+		return "", fault.WithField(fault.Unauthorized, "--token-file", "%s %v", c.TokenFile, err)
 	}
 	return token, nil
 }
--- a/internal/control/daemon/configuration.go
+++ b/internal/control/daemon/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
@@ -106,6 +107,25 @@
 	return fault.New(fault.NotReady, "this VM takes no new work")
 }
 
+// limits returns the limits of the callers' and operators' listeners.
+func (d *Daemon) limits() jsonhttp.Limits {
+	l := d.settings.Limits
+	return jsonhttp.Limits{
+		MaxBodyBytes: l.MaxBodyBytes, MaxHeaderBytes: l.MaxHeaderBytes, MaxConcurrent: l.MaxConcurrent,
+		ReadTimeout: l.ReadTimeout.Duration, IdleTimeout: l.IdleTimeout.Duration,
+	}
+}
+
+// maxPeerBodyBytes is the largest body that a peer sends: all claims and
+// records of a member that leaves.
+const maxPeerBodyBytes = 64 << 20
+
+func (d *Daemon) peerLimits() jsonhttp.Limits {
+	l := d.limits()
+	l.MaxBodyBytes = maxPeerBodyBytes
+	return l
+}
+
 // Spread tells which VMs have reached a version of the configuration.
 func (d *Daemon) Spread(version uint64) operator.Spread {
 	s := operator.Spread{Version: version}
--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,10 +115,7 @@
 }
 
 func (d *Daemon) joinListeners(token string) {
-	limits := jsonhttp.Limits{
-		MaxBodyBytes:  d.settings.Limits.MaxBodyBytes,
-		MaxConcurrent: d.settings.Limits.MaxConcurrent,
-	}
+	limits := d.limits()
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
 		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
@@ -127,12 +123,12 @@
 	}
 	c.Register(d.callers)
 	d.callers.GET("/readyz", d.readyz)
-	d.operators = jsonhttp.NewEcho(jsonhttp.Limits{}, d.meter)
+	d.operators = jsonhttp.NewEcho(limits, d.meter)
 	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
 	o.Register(d.operators)
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper}))
-	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: jsonhttp.DefaultReadTimeout}
+	d.peers = jsonhttp.NewServer(d.peerLimits(), d.meter, mux)
 }
 
 // Ready reports whether the VM takes new work.
@@ -299,6 +295,3 @@
 
 // Accounts returns the accounts as the planner at this VM sees them.
 func (d *Daemon) Accounts() []gang.AccountStatus { return d.planner.Accounts() }
-
-// Token reads a token from the content of its file.
-func Token(b []byte) string { return strings.TrimSpace(string(b)) }
--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -44,13 +44,16 @@
 	return m
 }
 
-// New returns an error of the given kind.
+// New returns an error of the given kind. A kind that is not in the table, as
+// one that came over the wire, becomes Internal, whose outcome is Unknown.
 func New(kind Kind, format string, args ...any) *Error {
+	kind = Lookup(kind).Kind
 	return &Error{Kind: kind, cause: typeOf(kind).New(format, args...)}
 }
 
 // Wrap returns an error of the given kind that keeps err as its cause.
 func Wrap(kind Kind, err error, format string, args ...any) *Error {
+	kind = Lookup(kind).Kind
 	return &Error{Kind: kind, cause: typeOf(kind).Wrap(err, format, args...)}
 }
 
@@ -61,13 +64,7 @@
 	return e
 }
 
-func typeOf(kind Kind) *errorx.Type {
-	t, ok := types[kind]
-	if !ok {
-		return types[Internal]
-	}
-	return t
-}
+func typeOf(kind Kind) *errorx.Type { return types[kind] }
 
 // Error returns the message without the kind.
 func (e *Error) Error() string {
--- a/internal/core/fault/table.go
+++ b/internal/core/fault/table.go
@@ -129,5 +129,11 @@
 	return row
 }
 
+// Known reports whether a kind is in the table.
+func Known(kind Kind) bool {
+	_, ok := rows[kind]
+	return ok
+}
+
 // Table returns a copy of all rows.
 func Table() []Row { return append([]Row(nil), table...) }
--- a/internal/core/jsonhttp/client.go
+++ b/internal/core/jsonhttp/client.go
@@ -113,6 +113,10 @@
 	if err := json.Unmarshal(b, &body); err != nil || body.Kind == "" {
 		return fault.New(fault.BadAnswer, "status %d without an error body", status)
 	}
+	// A kind tells whether the request ran, so it counts only with its status.
+	if !fault.Known(body.Kind) || fault.Lookup(body.Kind).HTTPStatus != status {
+		return fault.New(fault.BadAnswer, "status %d with the error kind %q", status, body.Kind)
+	}
 	if body.Field != "" {
 		return fault.WithField(body.Kind, body.Field, "%s", body.Message)
 	}
--- a/internal/core/jsonhttp/server.go
+++ b/internal/core/jsonhttp/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -66,9 +68,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
-	e.Server.ReadTimeout = limits.ReadTimeout
-	e.Server.IdleTimeout = limits.IdleTimeout
-	e.Server.MaxHeaderBytes = limits.MaxHeaderBytes
+	limits.set(e.Server)
 	e.HTTPErrorHandler = func(err error, c echo.Context) { writeError(c, m, err) }
 	e.Use(bounded(limits))
 	return e
@@ -84,18 +84,84 @@
 	return err
 }
 
+// NewServer returns a server whose requests are bounded by limits.
+func NewServer(limits Limits, m *meter.Meter, h http.Handler) *http.Server {
+	limits = limits.withDefaults()
+	gate := newGate(limits)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := gate.enter(w, r); err != nil {
+			refuse(w, m, err)
+			return
+		}
+		defer gate.leave()
+		h.ServeHTTP(w, r)
+	})}
+	limits.set(s)
+	return s
+}
+
+func refuse(w http.ResponseWriter, m *meter.Meter, err error) {
+	body := NewErrorBody(err)
+	row := fault.Lookup(body.Kind)
+	m.Inc(row.Counter)
+	b, _ := json.Marshal(body)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(row.HTTPStatus)
+	_, _ = w.Write(b)
+}
+
+// headerAllowance is how much more than the limit the server reads, so that a
+// header that is too large is refused with a JSON answer.
+const headerAllowance = 2
+
+func (l Limits) set(s *http.Server) {
+	s.ReadTimeout = l.ReadTimeout
+	s.ReadHeaderTimeout = l.ReadTimeout
+	s.IdleTimeout = l.IdleTimeout
+	s.MaxHeaderBytes = headerAllowance * l.MaxHeaderBytes
+}
+
+// gate lets a bounded number of requests in, each with a bounded size.
+type gate struct {
+	limits Limits
+	places chan struct{}
+}
+
+func newGate(limits Limits) *gate {
+	return &gate{limits: limits, places: make(chan struct{}, limits.MaxConcurrent)}
+}
+
+// enter refuses a request or bounds its body; leave must follow when it returns
+// nil.
+func (g *gate) enter(w http.ResponseWriter, r *http.Request) error {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	if size > g.limits.MaxHeaderBytes {
+		return fault.WithField(fault.BodyTooLarge, "header", "is over %d bytes", g.limits.MaxHeaderBytes)
+	}
+	select {
+	case g.places <- struct{}{}:
+	default:
+		return fault.New(fault.Overloaded, "%d requests are being served", g.limits.MaxConcurrent)
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, g.limits.MaxBodyBytes)
+	return nil
+}
+
+func (g *gate) leave() { <-g.places }
+
 func bounded(limits Limits) echo.MiddlewareFunc {
-	places := make(chan struct{}, limits.MaxConcurrent)
+	gate := newGate(limits)
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			select {
-			case places <- struct{}{}:
-			default:
-				return fault.New(fault.Overloaded, "%d requests are being served", limits.MaxConcurrent)
+			if err := gate.enter(c.Response(), c.Request()); err != nil {
+				return err
 			}
-			defer func() { <-places }()
-			r := c.Request()
-			r.Body = http.MaxBytesReader(c.Response(), r.Body, limits.MaxBodyBytes)
+			defer gate.leave()
 			return next(c)
 		}
 	}
@@ -117,13 +183,16 @@
 
 // DecodeBytes is Decode for a body that has been read.
 func DecodeBytes(b []byte, v any) error {
+	if len(b) == 0 {
+		return fault.WithField(fault.BadRequest, "body", "is empty")
+	}
 	if !utf8.Valid(b) {
 		return fault.WithField(fault.BadRequest, "body", "is not UTF-8")
 	}
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return fault.WithField(fault.BadRequest, badField(err), "%s", strings.TrimPrefix(err.Error(), "json: "))
+		return fault.WithField(fault.BadRequest, badField(v, err), "%s", shown(strings.TrimPrefix(err.Error(), "json: ")))
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return fault.WithField(fault.BadRequest, "body", "has data after the JSON value")
@@ -131,18 +200,50 @@
 	return nil
 }
 
-func badField(err error) string {
+// badField returns the field of v that a decoding error is about.
+func badField(v any, err error) string {
+	var corrupt base64.CorruptInputError
+	if errors.As(err, &corrupt) {
+		return bytesField(reflect.TypeOf(v))
+	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) && typeErr.Field != "" {
 		return typeErr.Field
 	}
 	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
-		return strings.Trim(name, `"`)
+		return shown(strings.Trim(name, `"`))
+	}
+	return "body"
+}
+
+// maxShownBytes bounds the part of a bad input that an answer repeats.
+const maxShownBytes = 128
+
+// shown returns the name of an unknown field as an answer repeats it.
+func shown(name string) string {
+	if name == "" {
+		return "body"
+	}
+	return strings.ToValidUTF8(name[:min(len(name), maxShownBytes)], "")
+}
+
+// bytesField returns the JSON name of the first field of bytes in the struct
+// that t points to.
+func bytesField(t reflect.Type) string {
+	if t.Kind() != reflect.Pointer || t.Elem().Kind() != reflect.Struct {
+		return "body"
+	}
+	for i := range t.Elem().NumField() {
+		f := t.Elem().Field(i)
+		if f.Type == reflect.TypeFor[[]byte]() {
+			name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+			return name
+		}
 	}
 	return "body"
 }
 
-// WriteError answers a request with an error.
+// writeError answers a request with an error.
 func writeError(c echo.Context, m *meter.Meter, err error) {
 	if c.Response().Committed {
 		return
--- a/internal/core/settings/lines.go
+++ b/internal/core/settings/lines.go
@@ -72,6 +72,12 @@
 	return 0
 }
 
+// Has reports whether the file has a key.
+func (l Lines) Has(key string) bool {
+	_, ok := l.byKey[key]
+	return ok
+}
+
 func (l Lines) add(key string, n *unstable.Node) {
 	if _, ok := l.byKey[key]; !ok {
 		l.byKey[key] = l.place.lineOf(int(n.Raw.Offset))
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/netip"
-	"sort"
 	"strings"
 	"time"
 
@@ -75,11 +73,20 @@
 	Format string `toml:"format"`
 }
 
-// Limits bound the callers' listener.
+// Limits bound what the listeners accept.
 type Limits struct {
-	MaxBodyBytes  int64    `toml:"max_body_bytes"`
-	MaxConcurrent int      `toml:"max_concurrent"`
-	DrainTimeout  Duration `toml:"drain_timeout"`
+	// MaxBodyBytes is the largest body of a caller or operator.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxHeaderBytes is the largest header.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MaxConcurrent is the number of requests that one listener serves at once.
+	MaxConcurrent int `toml:"max_concurrent"`
+	// ReadTimeout bounds the time to read one request.
+	ReadTimeout Duration `toml:"read_timeout"`
+	// IdleTimeout bounds the time that a connection waits for a request.
+	IdleTimeout Duration `toml:"idle_timeout"`
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout Duration `toml:"drain_timeout"`
 }
 
 // Duration is a time.Duration written with its unit, such as "10s".
@@ -100,9 +107,12 @@
 
 // Default values of settings.
 const (
-	DefaultMaxBodyBytes  = 1 << 20
-	DefaultMaxConcurrent = 4096
-	DefaultDrainTimeout  = 120 * time.Second
+	DefaultMaxBodyBytes   = 1 << 20
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultMaxConcurrent  = 4096
+	DefaultReadTimeout    = 10 * time.Second
+	DefaultIdleTimeout    = 120 * time.Second
+	DefaultDrainTimeout   = 120 * time.Second
 )
 
 // Problem is one fault of a settings file.
@@ -128,16 +138,23 @@
 	return s
 }
 
-// Parse reads the settings of a file without checking them whole.
-func Parse(file string, b []byte) (Settings, []Problem) {
-	s := Settings{
+// Default returns the settings of an empty file.
+func Default() Settings {
+	return Settings{
 		Log: Log{Level: "info", Format: "text"},
 		Limits: Limits{
-			MaxBodyBytes:  DefaultMaxBodyBytes,
+			MaxBodyBytes: DefaultMaxBodyBytes, MaxHeaderBytes: DefaultMaxHeaderBytes,
 			MaxConcurrent: DefaultMaxConcurrent,
+			ReadTimeout:   Duration{DefaultReadTimeout},
+			IdleTimeout:   Duration{DefaultIdleTimeout},
 			DrainTimeout:  Duration{DefaultDrainTimeout},
 		},
 	}
+}
+
+// Parse reads the settings of a file without checking them whole.
+func Parse(file string, b []byte) (Settings, []Problem) {
+	s := Default()
 	d := toml.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -169,41 +186,6 @@
 	return []Problem{{File: file, Field: "file", Message: err.Error()}}
 }
 
-// Names returns the names of all settings, sorted.
-func Names() []string {
-	names := []string{
-		"vm_id", "data_centre", "region", "listen.callers", "listen.operators", "listen.peers", "listen.advertise_peers",
-		"platform.address", "peers.seeds", "operators.token_file", "log.level", "log.format",
-		"limits.max_body_bytes", "limits.max_concurrent", "limits.drain_timeout",
-	}
-	sort.Strings(names)
-	return names
-}
-
-// Check returns all problems of the settings.
-func (s *Settings) Check(file string) []Problem {
-	c := checker{file: file}
-	c.nonEmpty("vm_id", s.VMID)
-	c.nonEmpty("data_centre", s.DataCentre)
-	c.nonEmpty("region", s.Region)
-	c.address("listen.callers", s.Listen.Callers)
-	c.address("listen.operators", s.Listen.Operators)
-	c.address("listen.peers", s.Listen.Peers)
-	c.address("listen.advertise_peers", s.Listen.AdvertisedPeers())
-	c.address("platform.address", s.Platform.Address)
-	for i, seed := range s.Peers.Seeds {
-		c.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
-	}
-	c.distinct(s.Listen)
-	c.nonEmpty("operators.token_file", s.Operators.TokenFile)
-	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	c.oneOf("log.format", s.Log.Format, "text", "json")
-	c.positive("limits.max_body_bytes", s.Limits.MaxBodyBytes)
-	c.positive("limits.max_concurrent", int64(s.Limits.MaxConcurrent))
-	c.positive("limits.drain_timeout", int64(s.Limits.DrainTimeout.Duration))
-	return c.problems
-}
-
 // Error returns problems as one error, nil when there are none.
 func Error(problems []Problem) error {
 	if len(problems) == 0 {
@@ -222,49 +204,3 @@
 	_ = level.UnmarshalText([]byte(l.Level))
 	return level
 }
-
-type checker struct {
-	file     string
-	problems []Problem
-}
-
-func (c *checker) add(field, message, accepted string) {
-	c.problems = append(c.problems, Problem{File: c.file, Field: field, Message: message, Accepted: accepted})
-}
-
-func (c *checker) nonEmpty(field, v string) {
-	if v == "" {
-		c.add(field, "is missing", "a non-empty string")
-	}
-}
-
-func (c *checker) address(field, v string) {
-	ap, err := netip.ParseAddrPort(v)
-	if err != nil || ap.Port() == 0 {
-		c.add(field, fmt.Sprintf("%q is not an address", v), "an IP address with a port, such as 127.0.0.1:7001")
-	}
-}
-
-func (c *checker) distinct(l Listen) {
-	if l.Callers == "" {
-		return
-	}
-	if l.Callers == l.Operators || l.Callers == l.Peers || l.Operators == l.Peers {
-		c.add("listen", "two listeners have the same address", "three different addresses")
-	}
-}
-
-func (c *checker) oneOf(field, v string, accepted ...string) {
-	for _, a := range accepted {
-		if v == a {
-			return
-		}
-	}
-	c.add(field, fmt.Sprintf("%q is not known", v), strings.Join(accepted, ", "))
-}
-
-func (c *checker) positive(field string, v int64) {
-	if v <= 0 {
-		c.add(field, fmt.Sprintf("%d is not positive", v), "a value over 0")
-	}
-}
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -96,6 +97,13 @@
 		DataCentre: c.QueryParam("data_centre"), Account: c.QueryParam("account"),
 		Target: c.QueryParam("target"), Kind: c.QueryParam("kind"),
 	}
+	for _, f := range []struct{ field, v string }{
+		{"data_centre", q.DataCentre}, {"account", q.Account}, {"target", q.Target}, {"kind", q.Kind},
+	} {
+		if !utf8.ValidString(f.v) {
+			return fault.WithField(fault.BadRequest, f.field, "is not UTF-8")
+		}
+	}
 	return c.JSON(http.StatusOK, s.Config.Effective(q, time.Now()))
 }
 
