--- a/internal/control/config/check_test.go
+++ b/internal/control/config/check_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/settings"
 )
 
 // Each case of the archive is a file NAME with a document, and NAME.want with
@@ -44,6 +47,29 @@
 	}
 }
 
+// keys returns the TOML keys of a type's fields.
+func keys(t reflect.Type, prefix string) []string {
+	for t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || t == reflect.TypeFor[settings.Duration]() || t == reflect.TypeFor[time.Time]() {
+		return []string{prefix}
+	}
+	var all []string
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		all = append(all, keys(f.Type, strings.TrimPrefix(prefix+"."+name, "."))...)
+	}
+	return all
+}
+
+func TestNamesAreThoseOfTheDocument(t *testing.T) {
+	is := is.New(t)
+	all := append(keys(reflect.TypeFor[config.Document](), ""), "accounts", "accounts.guarantee")
+	slices.Sort(all)
+	is.Equal(config.Names(), all)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(document("x")))
 	f.Add([]byte("[[accounts]]\nid = \"a\"\nguarantee = { workers = 1 }\n[[exceptions]]\n"))
--- a/internal/control/config/follow.go
+++ b/internal/control/config/follow.go
@@ -27,7 +27,7 @@
 		return fault.New(fault.NotReady, "neither the store nor a peer can be reached, so this VM has no configuration")
 	case storeErr != nil && k.version() == 0:
 		return fault.New(fault.NotReady, "the store cannot be reached and no peer has a configuration")
-	case len(live) == 0 && k.expectsPeers():
+	case k.awaits(live):
 		return fault.New(fault.NotReady, "this VM waits for the first heartbeats of its peers")
 	}
 	return nil
@@ -36,10 +36,9 @@
 // firstRound is the time in which the first heartbeats are answered.
 const firstRound = 1200 * time.Millisecond
 
-// expectsPeers reports whether known peers may still answer the first
-// heartbeats.
-func (k *Keeper) expectsPeers() bool {
-	return k.Peers != nil && k.Peers.Expected() && time.Since(k.begun) < firstRound
+// awaits reports whether known peers may still answer the first heartbeats.
+func (k *Keeper) awaits(live []Peer) bool {
+	return k.Peers != nil && len(live) < k.Peers.Expected() && time.Since(k.begun) < firstRound
 }
 
 // live returns the live peers and notes the highest version that they report.
--- a/internal/control/daemon/configuration.go
+++ b/internal/control/daemon/configuration.go
@@ -44,9 +44,13 @@
 	return peers
 }
 
-// Expected reports whether the seeds or the platform's list name a peer.
-func (p configPeers) Expected() bool {
-	return len(p.daemon.settings.Peers.Seeds) > 0 || len(p.daemon.otherEntries()) > 0
+// Expected returns the number of peers that the platform's list names or, while
+// it is unknown, the seeds.
+func (p configPeers) Expected() int {
+	if p.daemon.list() == nil {
+		return len(p.daemon.settings.Peers.Seeds)
+	}
+	return len(p.daemon.otherEntries())
 }
 
 // Fetch asks a peer for what changed since a version.
--- a/internal/standin/memory/network.go
+++ b/internal/standin/memory/network.go
@@ -121,8 +121,12 @@
 	return live
 }
 
-// Expected is always false.
-func (v *VM) Expected() bool { return false }
+// Expected returns the number of other VMs that were added.
+func (v *VM) Expected() int {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	return len(v.net.vms) - 1
+}
 
 // Fetch asks another VM.
 func (v *VM) Fetch(_ context.Context, address string, have uint64) (config.Update, error) {
