--- a/internal/control/config/keeper.go
+++ b/internal/control/config/keeper.go
@@ -65,8 +65,8 @@
 type Peers interface {
 	// Live returns the peers that were heard of lately.
 	Live() []Peer
-	// Expected reports whether this VM knows of peers that it has yet to hear.
-	Expected() bool
+	// Expected returns the number of peers that this VM knows of, live or not.
+	Expected() int
 	// Fetch returns what changed since a version, everything since 0.
 	Fetch(ctx context.Context, address string, have uint64) (Update, error)
 }
@@ -199,6 +199,10 @@
 	// A version that was in force before the read must be in the store.
 	before := k.snapshot().manifest.Header
 	e, found, err := k.KV.Get(ctx, HeadKey)
+	if err == nil && older(e, before) {
+		// The read may have been shared with one that began earlier.
+		e, found, err = k.KV.Get(ctx, HeadKey)
+	}
 	if err != nil {
 		return store.Entry{}, err
 	}
@@ -225,6 +229,12 @@
 	return e, k.accept(ctx, m)
 }
 
+// older reports whether the head of an entry, if any, is older than a version.
+func older(e store.Entry, h Header) bool {
+	m, err := DecodeManifest(e.Value)
+	return h.Version > 0 && (err != nil || m.Version < h.Version)
+}
+
 func (k *Keeper) setRevision(rev uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
