Divide slots by smoothed demand and bound waits per account

Found: an account ahead of its share held up every account's first class; admission by the total wait refused accounts below their share; a slot that moved to another VM was still held by running requests and was tried again every 30 ms.

Change: each class has its own lead before shares bind; the expected wait is that of the account; reported demand is smoothed; a refusal as busy doubles the pause of that runner.

--- a/internal/control/daemon/requests.go
+++ b/internal/control/daemon/requests.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -33,7 +34,7 @@
 	for _, r := range d.dispatch.Demand() {
 		hb.Demand = append(hb.Demand, &peerv1.Demand{
 			DataCentre: d.settings.DataCentre, Service: r.Service, ClientAccount: r.Account,
-			Waiting: int32(r.Waiting), Running: int32(r.Running),
+			Waiting: int32(math.Round(r.Waiting)), Running: int32(math.Ceil(r.Running)),
 		})
 	}
 	for id, seen := range d.dispatch.Leaving() {
@@ -59,7 +60,7 @@
 			}
 			r.Rows = append(r.Rows, dispatch.DemandRow{
 				Service: row.GetService(), Account: row.GetClientAccount(),
-				Waiting: int(row.GetWaiting()), Running: int(row.GetRunning()),
+				Waiting: float64(row.GetWaiting()), Running: float64(row.GetRunning()),
 			})
 		}
 		all = append(all, r)
--- a/internal/control/dispatch/demand.go
+++ b/internal/control/dispatch/demand.go
@@ -12,8 +12,9 @@
 type DemandRow struct {
 	Service string
 	Account string
-	Waiting int
-	Running int
+	// Waiting and Running are numbers of requests, smoothed over some seconds.
+	Waiting float64
+	Running float64
 }
 
 // Report is what a VM told in its heartbeat.
@@ -35,6 +36,9 @@
 // although they were not heard of.
 const discovery = 3 * time.Second
 
+// leastDemand is the demand below which an account is not reported.
+const leastDemand = 0.1
+
 // exchange renews the own report, reads those of the others and divides the
 // slots anew.
 func (s *scheduler) exchange(now time.Time) {
@@ -42,7 +46,7 @@
 		s.peers = s.d.Peers()
 	}
 	s.publish()
-	s.waitingAt = make(map[string]int)
+	s.waitingAt = make(map[string]float64)
 	for _, p := range s.peers {
 		for _, row := range p.Rows {
 			s.waitingAt[p.DataCentre+"/"+row.Service] += row.Waiting
@@ -55,6 +59,7 @@
 	s.view()
 }
 
+// publish renews the own report. Slots move with the smoothed demand only.
 func (s *scheduler) publish() {
 	rows := make(map[[2]string]*DemandRow)
 	row := func(service, account string) *DemandRow {
@@ -66,7 +71,7 @@
 	}
 	for service, q := range s.queues {
 		for account, n := range q.Waiting() {
-			row(service, account).Waiting = n
+			row(service, account).Waiting = float64(n)
 		}
 	}
 	for _, a := range s.attempts {
@@ -74,9 +79,16 @@
 			row(a.target.vm.Service, a.call.r.Account).Running++
 		}
 	}
+	for _, old := range s.own {
+		r := row(old.Service, old.Account)
+		r.Waiting = route.Smooth(old.Waiting, r.Waiting)
+		r.Running = route.Smooth(old.Running, r.Running)
+	}
 	all := make([]DemandRow, 0, len(rows))
 	for _, r := range rows {
-		all = append(all, *r)
+		if r.Waiting+r.Running >= leastDemand {
+			all = append(all, *r)
+		}
 	}
 	s.own = all
 	s.d.mu.Lock()
@@ -158,7 +170,7 @@
 	var all []route.Demand
 	for _, r := range rows {
 		if r.Service == service {
-			all = append(all, route.Demand{VM: vm, Account: r.Account, Slots: float64(r.Waiting + r.Running)})
+			all = append(all, route.Demand{VM: vm, Account: r.Account, Slots: r.Waiting + r.Running})
 		}
 	}
 	return all
--- a/internal/control/dispatch/schedule.go
+++ b/internal/control/dispatch/schedule.go
@@ -56,7 +56,7 @@
 	entries   []vmlist.VM
 	peers     []Report
 	own       []DemandRow
-	waitingAt map[string]int // by data centre and service
+	waitingAt map[string]float64 // by data centre and service
 	divisions map[string]*route.History
 	queues    map[string]*queue.Queue
 	calls     map[string]*call
--- a/internal/control/dispatch/settle.go
+++ b/internal/control/dispatch/settle.go
@@ -74,6 +74,7 @@
 		s.d.Log.Info("runner readmitted", "runner", a.target.vm.ID)
 	}
 	s.health.Succeed(a.target.vm.ID)
+	a.target.refusals = 0
 	s.budget(c.r.Account).Succeed(s.d.Config().Document.Defaults.RetryShare)
 	s.countCrossing(a.target, len(e.Payload))
 	if a.silent || !a.open {
@@ -88,7 +89,8 @@
 
 func (s *scheduler) notStarted(a *attempt, e runner.Event, now time.Time) {
 	if e.Reason == runner.NotStartedBusy {
-		a.target.pausedUntil = now.Add(busyPause)
+		a.target.refusals++
+		a.target.pausedUntil = now.Add(route.BusyPause(a.target.refusals))
 	}
 	if e.Reason == runner.NotStartedLeaving {
 		s.d.addLeaving(a.target.vm.ID, now)
--- a/internal/control/dispatch/targets.go
+++ b/internal/control/dispatch/targets.go
@@ -20,14 +20,12 @@
 	state  route.Runner
 	// pausedUntil ends the pause after the runner refused as busy.
 	pausedUntil time.Time
+	// refusals is the number of refusals as busy in a row.
+	refusals int
 }
 
-const (
-	// busyPause is the time without new work for a runner that was busy.
-	busyPause = 30 * time.Millisecond
-	// leavingExpiry is the time after which a sign of leaving is forgotten.
-	leavingExpiry = 10 * time.Minute
-)
+// leavingExpiry is the time after which a sign of leaving is forgotten.
+const leavingExpiry = 10 * time.Minute
 
 // post gives an order to the scheduler.
 func (d *Dispatcher) post(f func(*scheduler)) {
@@ -192,7 +190,7 @@
 // foreignLimit returns the requests that this VM may have at a runner of
 // another data centre: none while that data centre has requests waiting.
 func (s *scheduler) foreignLimit(t *target, foreign []string) int {
-	if s.waitingAt[t.vm.DataCentre+"/"+t.vm.Service] > 0 {
+	if s.waitingAt[t.vm.DataCentre+"/"+t.vm.Service] >= 1 {
 		return 0
 	}
 	// The VMs that may cross are counted among all VMs outside the runner's
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -20,9 +20,6 @@
 const (
 	// loadWindow is the time constant of the measured load of each class.
 	loadWindow = 10 * time.Second
-	// shareLag is the slot time for each guaranteed slot by which an account
-	// may trail the others before it is served regardless of class.
-	shareLag = time.Second
 	// agedShare is the part of the ageing limit after which an item goes first.
 	agedShare = 0.75
 	// admitShare is the part of the ageing limit that a new item may expect to wait.
@@ -45,12 +42,38 @@
 	Cost time.Duration
 }
 
+// shareLead is the slot time for each guaranteed slot by which an account may
+// be ahead of the others and still be served before them for its class.
+var shareLead = [Ranks]time.Duration{30 * time.Second, 5 * time.Second, 0}
+
 type account struct {
 	id      string
 	virtual float64
 	waiting int
 	lists   [Ranks]list.List
 	work    [Ranks]time.Duration
+	// load is the slots that arriving work takes, by class, and rate those
+	// that served work took, both averaged over loadWindow.
+	load [Ranks]average
+	rate average
+}
+
+// average is a rate that fades with time. The zero value is 0.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (a *average) add(work time.Duration, now time.Time) {
+	a.value = a.read(now) + work.Seconds()/loadWindow.Seconds()
+	a.at = now
+}
+
+func (a *average) read(now time.Time) float64 {
+	if a.at.IsZero() {
+		return 0
+	}
+	return a.value * math.Exp(-now.Sub(a.at).Seconds()/loadWindow.Seconds())
 }
 
 type place struct {
@@ -75,9 +98,7 @@
 	accounts map[string]*account
 	places   map[string]place
 	virtual  float64
-	work     [Ranks]time.Duration
-	load     [Ranks]float64
-	loadAt   time.Time
+	work     time.Duration
 }
 
 // Len returns the number of items.
@@ -94,20 +115,23 @@
 	return all
 }
 
-// Push adds an item and returns the items that have to be refused because the
-// queue is too long: the latest of the account that is furthest over its share.
+// Push adds an item and returns the items that have to be refused: the new one
+// when its account's expected wait is too long, and when the queue is too long,
+// the latest of the account that is furthest over its share.
 func (q *Queue) Push(it Item, now time.Time) []Item {
-	q.observe(it, now)
+	a := q.account(it.Account)
+	a.load[it.Rank].add(it.Cost, now)
 	q.insert(it, false)
-	var refused []Item
-	for q.overfull(it.Rank) {
-		victim, ok := q.pushOut(it.Rank)
-		if !ok {
-			break
-		}
-		refused = append(refused, victim)
+	if q.AgeingLimit > 0 && q.Wait(it.Account, it.Rank, now) > time.Duration(admitShare*float64(q.AgeingLimit)) {
+		q.Remove(it.ID)
+		return []Item{it}
+	}
+	if q.Limit <= 0 || q.Len() <= q.Limit {
+		return nil
 	}
-	return refused
+	victim := q.mostOver(it.Rank)
+	q.Remove(victim.ID)
+	return []Item{victim}
 }
 
 // Return puts an admitted item back at the front of its class and account.
@@ -126,7 +150,7 @@
 	}
 	a.waiting++
 	a.work[it.Rank] += it.Cost
-	q.work[it.Rank] += it.Cost
+	q.work += it.Cost
 	q.places[it.ID] = place{account: a, element: e}
 }
 
@@ -143,48 +167,42 @@
 	return a
 }
 
-// observe adds an arrival to the measured load of its class.
-func (q *Queue) observe(it Item, now time.Time) {
-	if !q.loadAt.IsZero() {
-		decay := math.Exp(-now.Sub(q.loadAt).Seconds() / loadWindow.Seconds())
-		for r := range q.load {
-			q.load[r] *= decay
-		}
-	}
-	q.loadAt = now
-	q.load[it.Rank] += it.Cost.Seconds() / loadWindow.Seconds()
-}
-
-// Wait returns the expected wait of a new item of a class.
-func (q *Queue) Wait(rank int) time.Duration {
+// Wait returns the expected wait of the latest item of an account and class:
+// the account is served at its share at least, or as fast as it lately was, its
+// earlier classes first.
+func (q *Queue) Wait(id string, rank int, now time.Time) time.Duration {
 	if q.Slots <= 0 {
 		return 0
 	}
+	a := q.account(id)
+	capacity := math.Max(a.rate.read(now), q.Slots*q.share(id))
+	free := capacity
 	var ahead time.Duration
-	free := q.Slots
 	for r := 0; r <= rank; r++ {
-		ahead += q.work[r]
+		ahead += a.work[r]
 		if r < rank {
-			free -= q.load[r]
+			free -= a.load[r].read(now)
 		}
 	}
-	free = math.Max(free, q.Slots*minFreeShare)
+	free = math.Max(free, capacity*minFreeShare)
 	return time.Duration(float64(ahead) / free)
 }
 
-func (q *Queue) overfull(rank int) bool {
-	if q.Limit > 0 && q.Len() > q.Limit {
-		return true
+// share returns an account's part of all weights.
+func (q *Queue) share(id string) float64 {
+	sum := 0.0
+	for other := range q.Weights {
+		sum += q.weight(other)
 	}
-	if q.AgeingLimit <= 0 {
-		return false
+	if _, listed := q.Weights[id]; !listed {
+		sum += q.weight(id)
 	}
-	return q.Wait(rank) > time.Duration(admitShare*float64(q.AgeingLimit))
+	return q.weight(id) / sum
 }
 
-// pushOut removes the latest item of the lowest class at or after rank, of the
-// account whose waiting work is the most for its weight.
-func (q *Queue) pushOut(rank int) (Item, bool) {
+// mostOver returns the latest item of the lowest class that has any, but not
+// before rank, of the account whose waiting work is the most for its weight.
+func (q *Queue) mostOver(rank int) Item {
 	for r := Ranks - 1; r >= rank; r-- {
 		var worst *account
 		for _, a := range q.accounts {
@@ -196,12 +214,10 @@
 			}
 		}
 		if worst != nil {
-			it := worst.lists[r].Back().Value.(Item)
-			q.Remove(it.ID)
-			return it, true
+			return worst.lists[r].Back().Value.(Item)
 		}
 	}
-	return Item{}, false
+	return Item{}
 }
 
 func (q *Queue) backlog(a *account, rank int) float64 {
@@ -233,7 +249,7 @@
 	p.account.lists[it.Rank].Remove(p.element)
 	p.account.waiting--
 	p.account.work[it.Rank] -= it.Cost
-	q.work[it.Rank] -= it.Cost
+	q.work -= it.Cost
 	delete(q.places, id)
 	return true
 }
@@ -249,6 +265,7 @@
 	q.virtual = math.Max(q.virtual, q.lowest().virtual)
 	q.Remove(it.ID)
 	a.virtual += it.Cost.Seconds() / q.weight(a.id)
+	a.rate.add(it.Cost, now)
 	return it, true
 }
 
@@ -259,15 +276,10 @@
 	if it, ok := q.aged(now); ok {
 		return it, true
 	}
-	if a := q.lowest(); q.highest()-a.virtual > shareLag.Seconds() {
-		for r := range a.lists {
-			if e := a.lists[r].Front(); e != nil {
-				return e.Value.(Item), true
-			}
-		}
-	}
+	low := q.lowest().virtual
 	for r := range Ranks {
-		if a := q.lowestOf(r); a != nil {
+		a := q.lowestOf(r)
+		if a != nil && a.virtual-low <= shareLead[r].Seconds() {
 			return a.lists[r].Front().Value.(Item), true
 		}
 	}
@@ -320,16 +332,6 @@
 	return low
 }
 
-func (q *Queue) highest() float64 {
-	high := math.Inf(-1)
-	for _, a := range q.accounts {
-		if a.waiting > 0 {
-			high = math.Max(high, a.virtual)
-		}
-	}
-	return high
-}
-
 // Settle corrects the charge of a served item by the time that it took.
 func (q *Queue) Settle(it Item, took time.Duration) {
 	a := q.account(it.Account)
@@ -338,9 +340,5 @@
 
 // Work returns the expected service time of all items together.
 func (q *Queue) Work() time.Duration {
-	var sum time.Duration
-	for _, w := range q.work {
-		sum += w
-	}
-	return sum
+	return q.work
 }
--- a/internal/decide/route/divide.go
+++ b/internal/decide/route/divide.go
@@ -144,6 +144,18 @@
 	return local
 }
 
+// smoothing is the weight of the latest demand in a smoothed one.
+const smoothing = 0.25
+
+// Smooth returns the demand to report, given the one reported before, so that
+// slots do not move with every request. Demand without any past is itself.
+func Smooth(before, now float64) float64 {
+	if before == 0 {
+		return now
+	}
+	return before + smoothing*(now-before)
+}
+
 // Point returns the place of a slot of a runner in the unit interval. It is
 // the same at every VM.
 func Point(runner string, slot int) float64 {
--- a/internal/decide/route/retry.go
+++ b/internal/decide/route/retry.go
@@ -21,6 +21,23 @@
 	return MinBackoff + time.Duration(r.Int64N(int64(high-MinBackoff)))
 }
 
+// Limits of the time without new work for a runner that refused as busy.
+const (
+	minBusyPause = 100 * time.Millisecond
+	maxBusyPause = 1600 * time.Millisecond
+)
+
+// BusyPause returns the time without new work after the n-th refusal as busy in
+// a row, counted from 1. It doubles, since another VM's requests still hold the
+// slots there.
+func BusyPause(n int) time.Duration {
+	pause := minBusyPause
+	for ; n > 1 && pause < maxBusyPause; n-- {
+		pause *= 2
+	}
+	return pause
+}
+
 const (
 	// budgetReserve is the number of retries that an account has at first.
 	budgetReserve = 3
