Prove the pipeline with faulty runners, bursts and real processes

Also: cancelled requests leave the queue before a new one is admitted, so that none is refused for their sake. A test of mine reused request ids and stalled; ids differ for every submission, which the field's comment now says.

Run: go test ./internal/control/dispatch ./internal/proof/requests, passing.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -29,6 +29,7 @@
 
 // Request is a caller's request.
 type Request struct {
+	// ID differs for every submission.
 	ID      string
 	Account string
 	Kind    string
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,10 +161,12 @@
 	_ = e.Server.Close()
 }
 
-// request returns the n-th request; its payload names it.
+var requests atomic.Int64
+
+// request returns the n-th request of a test; its payload names it.
 func request(kind string, n int, timeout time.Duration) Request {
 	return Request{
-		ID: fmt.Sprintf("q%d", n), Account: "guild", Kind: kind, Key: fmt.Sprintf("k%d", n),
+		ID: fmt.Sprintf("q%d", requests.Add(1)), Account: "guild", Kind: kind, Key: fmt.Sprintf("k%d", n),
 		Payload: fmt.Appendf(nil, "payload %d", n), Deadline: time.Now().Add(timeout),
 	}
 }
--- /dev/null
+++ b/internal/control/dispatch/load_test.go
@@ -0,0 +1,234 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/faults"
+)
+
+// sendRounds sends requests at a bounded rate and returns the outcomes.
+func (b *bed) sendRounds(rounds, each int, timeout time.Duration) map[string]int {
+	all := make(map[string]int)
+	for range rounds {
+		for k, n := range b.doAll("check", each, timeout) {
+			all[k] += n
+		}
+	}
+	return all
+}
+
+// arrivals returns how often each request reached a runner.
+func (b *bed) arrivals() map[string]int {
+	all := make(map[string]int)
+	for _, r := range b.runners {
+		for id, n := range r.Seen() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+func ejected(b *bed) int {
+	n := 0
+	for _, r := range b.Runners() {
+		if r.Ejected {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFailingRunners(t *testing.T) {
+	cases := []struct {
+		name    string
+		failing int
+		faults  faults.Orders
+		timeout time.Duration
+		// answered is the least share of answered requests.
+		answered float64
+		recovers bool
+	}{
+		{"one fails everything", 1, faults.Orders{FailStarts: true}, 5 * time.Second, 0.98, true},
+		{"half fail everything", 4, faults.Orders{FailStarts: true}, 5 * time.Second, 0.5, true},
+		{"all are slow", 9, faults.Orders{SlowMS: 1300}, 20 * time.Second, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBed(t, 9, 5*time.Millisecond, 0)
+			for _, r := range b.runners[:c.failing] {
+				r.Faults.Replace(c.faults)
+			}
+			rounds, each := 20, 30
+			if !c.recovers {
+				rounds, each = 3, 72
+			}
+			most := 0
+			done := make(chan map[string]int)
+			go func() { done <- b.sendRounds(rounds, each, c.timeout) }()
+			var outcomes map[string]int
+			for outcomes == nil {
+				select {
+				case outcomes = <-done:
+				case <-time.After(5 * time.Millisecond):
+					most = max(most, ejected(b))
+				}
+			}
+			total := float64(rounds * each)
+			is.True(float64(outcomes["answered"]) >= c.answered*total)
+			is.Equal(outcomes["wrong"], 0)
+			is.True(float64(b.Meter.Count("request_sent")) <= 1.2*total) // retries are under 20 % extra sends
+			is.True(most <= 3)                                           // a third of the runners
+			if !c.recovers {
+				return
+			}
+			is.True(b.Meter.Count("runner_ejected") > 0)
+			for _, r := range b.runners {
+				r.Faults.Replace(faults.Orders{})
+			}
+			for end := time.Now().Add(20 * time.Second); ejected(b) > 0 && time.Now().Before(end); {
+				b.doAll("check", 8, c.timeout)
+			}
+			is.Equal(ejected(b), 0) // probes bring them back
+		})
+	}
+}
+
+func TestBurstAndCancellations(t *testing.T) {
+	for _, size := range []int{16, 512 << 10} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			is := is.New(t)
+			const slots, serviceTime = 16, 200 * time.Millisecond
+			b := newBed(t, 2, serviceTime, 10*slots)
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg, leaving sync.WaitGroup
+			var mu sync.Mutex
+			cancelled := make(map[string]bool)
+			outcomes := make(map[string]int)
+			for i := range 10 * slots {
+				each, group := ctx, &leaving
+				if i%10 == 0 {
+					each, group = context.Background(), &wg
+				}
+				group.Go(func() {
+					r := request("check", i, time.Minute)
+					r.Payload = append(r.Payload, bytes.Repeat([]byte{'x'}, size)...)
+					a, err := b.Do(each, r)
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[outcome(r, a, err)]++
+					if fault.Is(err, fault.Cancelled) {
+						cancelled[r.ID] = true
+					}
+				})
+			}
+			time.Sleep(serviceTime / 2)
+			cancel()
+			leaving.Wait()
+			// The places in the queue are free at once.
+			before := b.arrivals()
+			is.Equal(b.doAll("check", 8*slots, time.Minute)["answered"], 8*slots)
+			wg.Wait()
+			is.Equal(outcomes["answered"]+outcomes["cancelled"]+outcomes["answer_lost"], 10*slots)
+			is.True(outcomes["answered"] >= slots)
+			is.True(len(cancelled) > 0)
+			after := b.arrivals()
+			for id := range cancelled {
+				is.Equal(after[id], before[id]) // never sent afterwards
+				for _, r := range b.runners {
+					is.Equal(r.Starts()[id], 0)
+				}
+			}
+		})
+	}
+}
+
+func TestUrgentGoesBeforeABurst(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 100*time.Millisecond, 0)
+	var wg sync.WaitGroup
+	for i := range 80 {
+		wg.Go(func() { _, _ = b.Do(context.Background(), request("render", i, time.Minute)) })
+	}
+	for b.Meter.Count("request_sent") < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := b.Do(context.Background(), request("check", 100, 300*time.Millisecond))
+	is.NoErr(err)
+	wg.Wait()
+}
+
+func TestFullIntakeRefuses(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 0, 0)
+	hold := make(chan struct{})
+	b.post(func(*scheduler) { <-hold })
+	var wg sync.WaitGroup
+	for i := range ringCapacity {
+		wg.Go(func() { _, _ = b.Do(context.Background(), request("check", i, time.Minute)) })
+	}
+	active := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.active)
+	}
+	for active() < ringCapacity {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := b.Do(context.Background(), request("check", ringCapacity+1, time.Minute))
+	is.True(fault.Is(err, fault.Overloaded)) // and the caller was not blocked
+	close(hold)
+	wg.Wait()
+	seen, _, _ := b.seen()
+	is.Equal(seen, ringCapacity)
+}
+
+func TestTicketIsSpentTruly(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 0, 0)
+	_, err := b.Do(context.Background(), request("stamp", 1, time.Second))
+	is.NoErr(err)
+	finished, abandoned := b.book.spent()
+	is.Equal([]int{finished, abandoned}, []int{1, 0})
+	// The caller leaves before the late answer, which is recorded all the same.
+	b.runners[0].Faults.Replace(faults.Orders{SlowMS: 300})
+	_, err = b.Do(context.Background(), request("stamp", 2, 100*time.Millisecond))
+	is.True(fault.Is(err, fault.AnswerLost))
+	is.NoErr(b.Drain(context.Background()))
+	finished, abandoned = b.book.spent()
+	is.Equal([]int{finished, abandoned}, []int{2, 0})
+	_, err = b.Do(context.Background(), request("stamp", 3, time.Second))
+	is.True(fault.Is(err, fault.Draining))
+	_, started, _ := b.seen()
+	is.Equal(started, 2)
+}
+
+func TestNotRunAbandonsTheTicket(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 0, 0)
+	b.runners[0].Faults.Replace(faults.Orders{Leaving: true})
+	_, err := b.Do(context.Background(), request("stamp", 1, 200*time.Millisecond))
+	is.True(fault.Is(err, fault.Deadline))
+	_, abandoned := b.book.spent()
+	is.Equal(abandoned, 1)
+}
+
+func TestConnectionsAndSlotsAreDivided(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2, 20*time.Millisecond, 0)
+	b.runners[0].Faults.Replace(faults.Orders{SilentRequest: 1000})
+	is.Equal(b.doAll("check", 100, 4*time.Second)["wrong"], 0)
+	for _, r := range b.relays {
+		is.True(r.Open("127.0.0.1") <= route.LocalConnections(64, 1))
+	}
+}
--- a/internal/control/dispatch/schedule.go
+++ b/internal/control/dispatch/schedule.go
@@ -93,6 +93,7 @@
 		case c := <-s.d.cancels:
 			s.forget(c)
 		case c := <-s.d.intake:
+			s.forgetCancelled()
 			s.admit(c, time.Now())
 		case e := <-s.d.settled:
 			s.settle(e, time.Now())
@@ -104,6 +105,19 @@
 	}
 }
 
+// forgetCancelled frees the places of all cancelled requests, so that a new one
+// is not refused for their sake.
+func (s *scheduler) forgetCancelled() {
+	for {
+		select {
+		case c := <-s.d.cancels:
+			s.forget(c)
+		default:
+			return
+		}
+	}
+}
+
 func (s *scheduler) queue(service string) *queue.Queue {
 	q, ok := s.queues[service]
 	if !ok {
--- a/internal/control/dispatch/settle.go
+++ b/internal/control/dispatch/settle.go
@@ -80,10 +80,12 @@
 	if a.silent || !a.open {
 		s.d.Meter.Inc("runner_answer_late")
 	}
-	if !e.Crossed {
-		// The connection of the answer can be used again.
-		a.open = false
+	if e.Crossed && a.open {
+		// The connection of this attempt may still bring the answer to another.
+		s.release(a)
+		time.AfterFunc(lateGrace, a.cancel)
 	}
+	a.open = false
 	s.forget(c)
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -40,6 +40,11 @@
 		os.Exit(m.Run())
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	go func() {
+		<-ctx.Done()
+		// A second signal ends the process at once, as in the daemon's own main.
+		stop()
+	}()
 	code := dogwoodd.Run(ctx, os.Stdout, os.Stderr, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -30,7 +30,7 @@
 	running   int
 	seen      map[string]int
 	starts    map[string]int
-	payloads  map[string]int
+	payloads  map[string]map[string]int // by kind and payload
 	lastStart time.Time
 	crossing  *crossing
 }
@@ -51,8 +51,13 @@
 // Seen returns how often each request id arrived, started or not.
 func (r *Runner) Seen() map[string]int { return r.copy(&r.seen) }
 
-// Payloads returns how often each payload was started.
-func (r *Runner) Payloads() map[string]int { return r.copy(&r.payloads) }
+// KindStarts returns how often each payload of a kind was started.
+func (r *Runner) KindStarts(kind string) map[string]int {
+	r.mu.Lock()
+	m := r.payloads[kind]
+	r.mu.Unlock()
+	return r.copy(&m)
+}
 
 // LastStart returns the time of the latest start.
 func (r *Runner) LastStart() time.Time {
@@ -98,7 +103,7 @@
 	if r.take(func(o *faults.Orders) *int { return &o.SilentAccept }) {
 		return silence(c)
 	}
-	if !r.begin(a.id, string(payload)) {
+	if !r.begin(a.id, in.Get(target.HeaderKind), string(payload)) {
 		return a.notStarted(c, target.NotStartedBusy)
 	}
 	time.Sleep(r.ServiceTime + time.Duration(o.SlowMS)*time.Millisecond)
@@ -117,7 +122,7 @@
 	count(&r.seen, id)
 }
 
-func (r *Runner) begin(id, payload string) bool {
+func (r *Runner) begin(id, kind, payload string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slots := r.Slots
@@ -131,7 +136,13 @@
 	r.running++
 	r.lastStart = time.Now()
 	count(&r.starts, id)
-	count(&r.payloads, payload)
+	if r.payloads == nil {
+		r.payloads = make(map[string]map[string]int)
+	}
+	if r.payloads[kind] == nil {
+		r.payloads[kind] = make(map[string]int)
+	}
+	r.payloads[kind][payload]++
 	return true
 }
 
