--- a/internal/control/dispatch/settle.go
+++ b/internal/control/dispatch/settle.go
@@ -74,21 +74,25 @@
 		s.d.Log.Info("runner readmitted", "runner", a.target.vm.ID)
 	}
 	s.health.Succeed(a.target.vm.ID)
+	a.target.refusals = 0
 	s.budget(c.r.Account).Succeed(s.d.Config().Document.Defaults.RetryShare)
 	s.countCrossing(a.target, len(e.Payload))
 	if a.silent || !a.open {
 		s.d.Meter.Inc("runner_answer_late")
 	}
-	if !e.Crossed {
-		// The connection of the answer can be used again.
-		a.open = false
+	if e.Crossed && a.open {
+		// The connection of this attempt may still bring the answer to another.
+		s.release(a)
+		time.AfterFunc(lateGrace, a.cancel)
 	}
+	a.open = false
 	s.forget(c)
 }
 
 func (s *scheduler) notStarted(a *attempt, e runner.Event, now time.Time) {
 	if e.Reason == runner.NotStartedBusy {
-		a.target.pausedUntil = now.Add(busyPause)
+		a.target.refusals++
+		a.target.pausedUntil = now.Add(route.BusyPause(a.target.refusals))
 	}
 	if e.Reason == runner.NotStartedLeaving {
 		s.d.addLeaving(a.target.vm.ID, now)
