Pre-empt a gang whose start is in flight once it runs

An order to pre-empt that came while the gang was being started was dropped, and the decisions would have waited for the gang for good. It is kept until the start is answered.

--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -148,10 +148,10 @@
 	case o.Kind == gang.Preempt && e.phase == running && !e.rec.Idempotent:
 		t.p.Meter.Inc("planner_preempt_refused")
 	case o.Kind == gang.Preempt && e.phase == running:
-		e.phase = stopping
-		t.p.Meter.Inc("gang_preempted")
-		t.note(e, "pre-empted: "+o.Reason)
-		return operation{kind: preemptGang, entry: e, reason: "pre-empted: " + o.Reason}, true
+		return t.beginPreemption(e, o.Reason), true
+	case o.Kind == gang.Preempt && e.phase == starting && e.rec.Idempotent:
+		e.preemption = o.Reason
+		t.p.Meter.Inc("gang_preempted_at_start")
 	case o.Kind == gang.Start || o.Kind == gang.Preempt:
 		t.p.Meter.Inc("planner_order_out_of_phase")
 	default:
@@ -160,6 +160,25 @@
 	return operation{}, false
 }
 
+// beginPreemption begins the pre-emption of a running gang. t.mu is held.
+func (t *term) beginPreemption(e *entry, why string) operation {
+	reason := "pre-empted: " + why
+	e.phase, e.preemption = stopping, ""
+	t.p.Meter.Inc("gang_preempted")
+	t.note(e, reason)
+	return operation{kind: preemptGang, entry: e, reason: reason}
+}
+
+// latePreemption begins the pre-emption that was ordered during a gang's start.
+func (t *term) latePreemption(e *entry) (op operation, ordered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.phase != running || e.preemption == "" {
+		return operation{}, false
+	}
+	return t.beginPreemption(e, e.preemption), true
+}
+
 func accounts(doc config.Document) []gang.Account {
 	all := make([]gang.Account, 0, len(doc.Accounts))
 	for _, a := range doc.Accounts {
--- a/internal/control/planner/planner_test.go
+++ b/internal/control/planner/planner_test.go
@@ -47,6 +47,7 @@
 		{"start", gang.Start, waiting, true, true, ""},
 		{"start of a running gang", gang.Start, running, true, false, "planner_order_out_of_phase"},
 		{"pre-emption", gang.Preempt, running, true, true, "gang_preempted"},
+		{"pre-emption during the start", gang.Preempt, starting, true, false, "gang_preempted_at_start"},
 		{"pre-emption of a stopping gang", gang.Preempt, stopping, true, false, "planner_order_out_of_phase"},
 		{"pre-emption of a non-idempotent job", gang.Preempt, running, false, false, "planner_preempt_refused"},
 		{"kind of a later version", "resize", running, true, false, "planner_order_unknown"},
--- a/internal/control/planner/start.go
+++ b/internal/control/planner/start.go
@@ -35,6 +35,9 @@
 		err = t.startAll(ctx, op.entry, a)
 	}
 	if err == nil && t.confirm(op.entry) {
+		if late, ordered := t.latePreemption(op.entry); ordered {
+			t.execute(late)
+		}
 		return
 	}
 	if t.ctx.Err() != nil {
--- a/internal/control/planner/stop.go
+++ b/internal/control/planner/stop.go
@@ -119,7 +119,7 @@
 func (t *term) requeue(e *entry, reason string) {
 	t.spend(e)
 	e.phase = waiting
-	e.begun = false
+	e.begun, e.preemption = false, ""
 	e.rec.State, e.rec.Slots = job.Waiting, nil
 	t.note(e, reason)
 	t.changed(e)
--- a/internal/control/planner/term.go
+++ b/internal/control/planner/term.go
@@ -84,6 +84,9 @@
 	abort context.CancelFunc
 	// begun says that a start of the current attempt may have taken effect.
 	begun bool
+	// preemption is the reason of a pre-emption that was ordered during the
+	// start; empty for none.
+	preemption string
 	// ticket is the claim of a non-idempotent job.
 	ticket *claim.Ticket
 	// failures counts the attempts in a row that did not get to run.
