Hand gangs over at planned stops and replacements of VMs

Proofs only, but for one change: the decisions' accounts and weights were set again with every round of planning; they are now set when the configuration's version changes, and cordons are looked at once a second.

--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -103,21 +103,41 @@
 		case <-t.wake:
 		case <-clock.C:
 		}
-		for _, op := range t.plan(t.p.Config().Document) {
+		t.configure(t.p.Config(), time.Now())
+		for _, op := range t.plan() {
 			t.order(op)
 		}
 	}
 }
 
-func (t *term) plan(doc config.Document) []operation {
+// configureInterval is the longest time until an exception that has expired is
+// out of force.
+const configureInterval = time.Second
+
+// configure takes over a changed configuration.
+func (t *term) configure(head config.Head, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.SetAccounts(accounts(doc))
+	fresh := t.configured.IsZero() || head.Version != t.configVersion
+	if !fresh && now.Sub(t.configured) < configureInterval {
+		return
+	}
+	t.refreshCordons(head.Document, now)
+	t.configured = now
+	if !fresh {
+		return
+	}
+	t.configVersion = head.Version
+	t.state.SetAccounts(accounts(head.Document))
 	t.state.SetWeights(gang.Weights{
-		CompletionTime: doc.Defaults.CompletionTimeWeight,
-		Fragmentation:  doc.Defaults.FragmentationWeight,
+		CompletionTime: head.Document.Defaults.CompletionTimeWeight,
+		Fragmentation:  head.Document.Defaults.FragmentationWeight,
 	})
-	t.refreshCordons(doc, time.Now())
+}
+
+func (t *term) plan() []operation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, e := range t.jobs {
 		if e.phase == waiting {
 			t.place(e)
--- a/internal/control/planner/lead.go
+++ b/internal/control/planner/lead.go
@@ -130,6 +130,7 @@
 	p.epoch = nextEpoch(p.epoch, p.VMID)
 	t.epoch = p.epoch
 	p.mu.Unlock()
+	t.configure(p.Config(), time.Now())
 	t.rebuild(records, lists, listed)
 	t.run(err == nil)
 	p.mu.Lock()
--- a/internal/control/planner/term.go
+++ b/internal/control/planner/term.go
@@ -48,6 +48,10 @@
 	state   gang.State
 	jobs    map[string]*entry
 	members map[string]*member
+	// configured is the time of the last look at the configuration, of which
+	// configVersion is in force.
+	configured    time.Time
+	configVersion uint64
 	// loaded says that the kept records have been read in this term.
 	loaded bool
 }
--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -125,6 +125,23 @@
 	}
 }
 
+// drain NAME stops a daemon as planned.
+func (s *scene) drain(ts *testscript.TestScript, _ bool, args []string) {
+	p := s.vms[args[0]].(*process)
+	p.dead = true
+	if code := p.Stop(); code != 0 {
+		ts.Fatalf("%s ended with %d", args[0], code)
+	}
+}
+
+// revive NAME starts a daemon again that has ended.
+func (s *scene) revive(_ *testscript.TestScript, _ bool, args []string) {
+	p := s.vms[args[0]].(*process)
+	p.Start()
+	p.WaitReady()
+	p.dead = false
+}
+
 // signal NAME stop|cont pauses or continues a daemon.
 func (s *scene) signal(_ *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]syscall.Signal{"stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
@@ -330,6 +347,13 @@
 	})
 }
 
+// forgot WORKER... waits until workers hold no parts.
+func (s *scene) forgot(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		s.until(ts, id+" holds no parts", func() bool { return len(s.fleet.Workers[id].Parts()) == 0 })
+	}
+}
+
 func (s *scene) sleep(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
 	ts.Check(err)
