--- a/internal/control/job/desk.go
+++ b/internal/control/job/desk.go
@@ -18,6 +18,8 @@
 	Fits(r Record) error
 	Jobs(id string) []Record
 	Explain(id string) (gang.Explanation, bool)
+	// Complete reports whether the planner knows all admitted jobs.
+	Complete() bool
 	// Decisions returns the last decisions about a job, oldest first.
 	Decisions(id string) []Decision
 	Cancel(ctx context.Context, id string) error
@@ -165,7 +167,7 @@
 		return nil, fault.New(fault.NotReady, "no planner is known")
 	}
 	if self {
-		return d.LocalViews(id, explain), nil
+		return d.Views(id, explain)
 	}
 	resp, err := d.Peers.Client(vm.GetPeerAddress()).ListJobs(ctx, &peerv1.ListJobsRequest{JobId: id, Explain: explain})
 	if err != nil {
@@ -180,6 +182,16 @@
 	return views, nil
 }
 
+// Views returns the views of the planner at this VM. The error is of kind
+// NotReady when the job of an id is not known, but may exist.
+func (d *Desk) Views(id string, explain bool) ([]View, error) {
+	views := d.LocalViews(id, explain)
+	if id != "" && len(views) == 0 && !d.Planner.Complete() {
+		return nil, fault.New(fault.NotReady, "the planner has not read all jobs yet")
+	}
+	return views, nil
+}
+
 // LocalViews returns the views of the planner at this VM.
 func (d *Desk) LocalViews(id string, explain bool) []View {
 	records := d.Planner.Jobs(id)
--- a/internal/control/planner/keep.go
+++ b/internal/control/planner/keep.go
@@ -126,9 +126,7 @@
 
 // reloading reads the kept records again, soon when that has failed.
 func (t *term) reloading() {
-	t.mu.Lock()
-	loaded := t.loaded
-	t.mu.Unlock()
+	loaded := t.hasLoaded()
 	for {
 		delay := reloadInterval
 		if !loaded {
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -147,6 +147,13 @@
 	return all
 }
 
+// Complete reports whether this planner knows all admitted jobs: it plans, and
+// the kept records have been read.
+func (p *Planner) Complete() bool {
+	t := p.current()
+	return t != nil && t.hasLoaded()
+}
+
 // Explain says why a job stands where it does.
 func (p *Planner) Explain(id string) (gang.Explanation, bool) {
 	t := p.last()
--- a/internal/control/planner/term.go
+++ b/internal/control/planner/term.go
@@ -168,6 +168,21 @@
 	t.cancel()
 }
 
+func (t *term) hasLoaded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded
+}
+
+// unknownJob returns the error for a job that is not known. It may exist while
+// the kept records have not been read.
+func unknownJob(id string, loaded bool) error {
+	if loaded {
+		return fault.WithField(fault.NotFound, "job_id", "%q is not known", id)
+	}
+	return fault.New(fault.NotReady, "job %q is not known until the records can be read", id)
+}
+
 func notify(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -267,8 +282,9 @@
 	t.mu.Lock()
 	e, ok := t.jobs[id]
 	if !ok {
+		loaded := t.loaded
 		t.mu.Unlock()
-		return fault.WithField(fault.NotFound, "job_id", "%q is not known", id)
+		return unknownJob(id, loaded)
 	}
 	if e.phase == ended {
 		t.mu.Unlock()
