--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -232,7 +232,7 @@
 		d.meter.Inc("vmlist_error")
 		return
 	}
-	var runners, workers []vmlist.VM
+	var runners, workers, allWorkers []vmlist.VM
 	var peers []string
 	var entries []vmlist.VM
 	for _, vm := range a.VMs {
@@ -240,6 +240,7 @@
 		case vmlist.Runner:
 			runners = append(runners, vm)
 		case vmlist.Worker:
+			allWorkers = append(allWorkers, vm)
 			if vm.DataCentre == d.settings.DataCentre {
 				workers = append(workers, vm)
 			}
@@ -253,6 +254,7 @@
 	d.dispatch.SetEntryVMs(entries)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
+	d.desk.SetWorkers(allWorkers)
 	d.mu.Lock()
 	d.workers = workers
 	d.mu.Unlock()
--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -103,20 +103,41 @@
 		case <-t.wake:
 		case <-clock.C:
 		}
-		for _, op := range t.plan(t.p.Config().Document) {
+		t.configure(t.p.Config(), time.Now())
+		for _, op := range t.plan() {
 			t.order(op)
 		}
 	}
 }
 
-func (t *term) plan(doc config.Document) []operation {
+// configureInterval is the longest time until an exception that has expired is
+// out of force.
+const configureInterval = time.Second
+
+// configure takes over a changed configuration.
+func (t *term) configure(head config.Head, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.SetAccounts(accounts(doc))
+	fresh := t.configured.IsZero() || head.Version != t.configVersion
+	if !fresh && now.Sub(t.configured) < configureInterval {
+		return
+	}
+	t.refreshCordons(head.Document, now)
+	t.configured = now
+	if !fresh {
+		return
+	}
+	t.configVersion = head.Version
+	t.state.SetAccounts(accounts(head.Document))
 	t.state.SetWeights(gang.Weights{
-		CompletionTime: doc.Defaults.CompletionTimeWeight,
-		Fragmentation:  doc.Defaults.FragmentationWeight,
+		CompletionTime: head.Document.Defaults.CompletionTimeWeight,
+		Fragmentation:  head.Document.Defaults.FragmentationWeight,
 	})
+}
+
+func (t *term) plan() []operation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, e := range t.jobs {
 		if e.phase == waiting {
 			t.place(e)
@@ -147,10 +168,10 @@
 	case o.Kind == gang.Preempt && e.phase == running && !e.rec.Idempotent:
 		t.p.Meter.Inc("planner_preempt_refused")
 	case o.Kind == gang.Preempt && e.phase == running:
-		e.phase = stopping
-		t.p.Meter.Inc("gang_preempted")
-		t.note(e, "pre-empted: "+o.Reason)
-		return operation{kind: preemptGang, entry: e, reason: "pre-empted: " + o.Reason}, true
+		return t.beginPreemption(e, o.Reason), true
+	case o.Kind == gang.Preempt && e.phase == starting && e.rec.Idempotent:
+		e.preemption = o.Reason
+		t.p.Meter.Inc("gang_preempted_at_start")
 	case o.Kind == gang.Start || o.Kind == gang.Preempt:
 		t.p.Meter.Inc("planner_order_out_of_phase")
 	default:
@@ -159,6 +180,25 @@
 	return operation{}, false
 }
 
+// beginPreemption begins the pre-emption of a running gang. t.mu is held.
+func (t *term) beginPreemption(e *entry, why string) operation {
+	reason := "pre-empted: " + why
+	e.phase, e.preemption = stopping, ""
+	t.p.Meter.Inc("gang_preempted")
+	t.note(e, reason)
+	return operation{kind: preemptGang, entry: e, reason: reason}
+}
+
+// latePreemption begins the pre-emption that was ordered during a gang's start.
+func (t *term) latePreemption(e *entry) (op operation, ordered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.phase != running || e.preemption == "" {
+		return operation{}, false
+	}
+	return t.beginPreemption(e, e.preemption), true
+}
+
 func accounts(doc config.Document) []gang.Account {
 	all := make([]gang.Account, 0, len(doc.Accounts))
 	for _, a := range doc.Accounts {
--- a/internal/control/planner/term.go
+++ b/internal/control/planner/term.go
@@ -48,6 +48,10 @@
 	state   gang.State
 	jobs    map[string]*entry
 	members map[string]*member
+	// configured is the time of the last look at the configuration, of which
+	// configVersion is in force.
+	configured    time.Time
+	configVersion uint64
 	// loaded says that the kept records have been read in this term.
 	loaded bool
 }
@@ -84,6 +88,9 @@
 	abort context.CancelFunc
 	// begun says that a start of the current attempt may have taken effect.
 	begun bool
+	// preemption is the reason of a pre-emption that was ordered during the
+	// start; empty for none.
+	preemption string
 	// ticket is the claim of a non-idempotent job.
 	ticket *claim.Ticket
 	// failures counts the attempts in a row that did not get to run.
@@ -161,6 +168,21 @@
 	t.cancel()
 }
 
+func (t *term) hasLoaded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded
+}
+
+// unknownJob returns the error for a job that is not known. It may exist while
+// the kept records have not been read.
+func unknownJob(id string, loaded bool) error {
+	if loaded {
+		return fault.WithField(fault.NotFound, "job_id", "%q is not known", id)
+	}
+	return fault.New(fault.NotReady, "job %q is not known until the records can be read", id)
+}
+
 func notify(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -260,8 +282,9 @@
 	t.mu.Lock()
 	e, ok := t.jobs[id]
 	if !ok {
+		loaded := t.loaded
 		t.mu.Unlock()
-		return fault.WithField(fault.NotFound, "job_id", "%q is not known", id)
+		return unknownJob(id, loaded)
 	}
 	if e.phase == ended {
 		t.mu.Unlock()
--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// drain NAME stops a daemon as planned.
+func (s *scene) drain(ts *testscript.TestScript, _ bool, args []string) {
+	p := s.vms[args[0]].(*process)
+	p.dead = true
+	if code := p.Stop(); code != 0 {
+		ts.Fatalf("%s ended with %d", args[0], code)
+	}
+}
+
+// revive NAME starts a daemon again that has ended.
+func (s *scene) revive(_ *testscript.TestScript, _ bool, args []string) {
+	p := s.vms[args[0]].(*process)
+	p.Start()
+	p.WaitReady()
+	p.dead = false
+}
+
 // signal NAME stop|cont pauses or continues a daemon.
 func (s *scene) signal(_ *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]syscall.Signal{"stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
@@ -327,6 +344,13 @@
 	})
 }
 
+// forgot WORKER... waits until workers hold no parts.
+func (s *scene) forgot(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		s.until(ts, id+" holds no parts", func() bool { return len(s.fleet.Workers[id].Parts()) == 0 })
+	}
+}
+
 func (s *scene) sleep(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
 	ts.Check(err)
@@ -381,19 +405,24 @@
 
 // end checks what must hold in every script.
 func (s *scene) end(ts *testscript.TestScript, _ bool, _ []string) {
+	states := make(map[job.State]int)
 	for name, id := range s.jobs {
 		s.until(ts, name+" has ended", func() bool {
 			r, ok := s.view(id)
+			if ok && r.State.Final() {
+				states[r.State]++
+			}
 			return ok && r.State.Final()
 		})
-		if r := s.records[id]; !r.Idempotent && r.Tasks > 0 {
-			for wid, w := range s.fleet.Workers {
-				if n := w.Starts()[id]; n > 1 {
-					ts.Fatalf("%s was started %d times at %s", name, n, wid)
-				}
-			}
-			if n := s.startsOf(id); n > r.Tasks {
-				ts.Fatalf("%s was started %d times", name, n)
+	}
+	ts.Logf("states: %v", states)
+	for id, r := range s.records {
+		if !r.Idempotent && s.startsOf(id) > r.Tasks {
+			ts.Fatalf("%s was started %d times", id, s.startsOf(id))
+		}
+		for wid, w := range s.fleet.Workers {
+			if n := w.Starts()[id]; !r.Idempotent && n > 1 {
+				ts.Fatalf("%s was started %d times at %s", id, n, wid)
 			}
 		}
 	}
