Claim keys attached and detached, with a roster per data centre

Claims went through the store only, so a store outage stopped every non-idempotent request.

Change: internal/peer/claim holds the protocol's state without I/O (Member) and drives it (Book); internal/peer/roster joins, evicts and leaves; internal/peer/forward brings a keyed request to its home; the VM list and the store's reads are watches and shared calls instead of polls.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -27,12 +27,10 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
-	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/gossip"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/record"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
@@ -50,6 +48,7 @@
 	gossip   *gossip.Table
 	dispatch *dispatch.Dispatcher
 	planner  *planner.Planner
+	homes    *homes
 	desk     *job.Desk
 
 	callers   *echo.Echo
@@ -78,7 +77,9 @@
 	d.gossip = &gossip.Table{
 		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
 		Source: d.fillHeartbeat,
+		Sink:   func(hb *peerv1.HeartbeatRequest) { d.homes.heard(hb) },
 	}
+	d.homes = d.newHomes()
 	d.joinWork()
 	d.joinListeners(token)
 	return d
@@ -97,11 +98,12 @@
 }
 
 func (d *Daemon) joinWork() {
-	records := &job.Records{Keeper: &record.Records{KV: d.store}}
+	records := &job.Records{Keeper: d.homes.records}
 	d.dispatch = &dispatch.Dispatcher{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Meter: d.meter, Log: d.log,
-		Claims: &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString},
+		Claims: d.homes.book,
 	}
+	d.homes.router.Here = d.dispatch
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Meter: d.meter, Log: d.log,
@@ -117,7 +119,7 @@
 	}
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
-		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
+		DataCentre: d.settings.DataCentre, Requests: d.homes.router, Jobs: d.desk,
 		Config: d.keeper.Current, Ready: d.Ready, Meter: d.meter,
 	}
 	c.Register(d.callers)
@@ -125,7 +127,10 @@
 	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
 	o.Register(d.operators)
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk}))
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{
+		Gossip: d.gossip, Planner: d.planner, Desk: d.desk,
+		Member: d.homes.member, Roster: d.homes.roster, Forward: d.homes.router,
+	}))
 	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: jsonhttp.DefaultReadTimeout}
 }
 
@@ -144,6 +149,7 @@
 	hb.From = proto.CloneOf(d.self)
 	hb.From.Leaving = d.draining.Load()
 	hb.ConfigVersion = d.keeper.Current().Version
+	d.homes.fill(hb)
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -161,6 +167,7 @@
 	go d.keeper.Run(duties)
 	go d.watchTargets(duties)
 	go d.planner.Run(duties)
+	d.homes.run(duties)
 	d.log.Info("serving", "vm", d.settings.VMID, "data_centre", d.settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -187,8 +194,9 @@
 }
 
 const (
-	loadRetryDelay  = 500 * time.Millisecond
-	refreshInterval = time.Second
+	loadRetryDelay = 500 * time.Millisecond
+	// refreshTimeout bounds the first read of the platform's list.
+	refreshTimeout = time.Second
 )
 
 // load reads the first configuration; the VM is not ready before.
@@ -212,21 +220,19 @@
 	}
 }
 
-func (d *Daemon) watchTargets(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, refreshInterval)
-		d.refreshTargets(ctx)
-	}
-}
-
 func (d *Daemon) refreshTargets(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, refreshInterval)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	a, err := d.vms.List(ctx)
 	if err != nil {
 		d.meter.Inc("vmlist_error")
 		return
 	}
+	d.takeList(a)
+}
+
+// takeList takes the platform's list.
+func (d *Daemon) takeList(a vmlist.ListAnswer) {
 	var runners, workers []vmlist.VM
 	var peers []string
 	for _, vm := range a.VMs {
@@ -242,6 +248,7 @@
 		}
 	}
 	d.gossip.Addresses(peers)
+	d.homes.takeList(a)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
 	d.mu.Lock()
@@ -256,6 +263,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainTimeout.Duration)
 	defer cancel()
 	d.dispatch.Drain()
+	d.homes.leave(ctx)
 	for _, e := range []*echo.Echo{d.callers, d.operators} {
 		if err := e.Server.Shutdown(ctx); err != nil {
 			return fault.Wrap(fault.Internal, err, "shut down")
--- /dev/null
+++ b/internal/control/daemon/roster.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/dispatch"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/forward"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/members"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/roster"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/record"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+)
+
+// homes joins the duties that concern the keys whose home is this data centre.
+type homes struct {
+	member  *claim.Member
+	book    *claim.Book
+	roster  *roster.Keeper
+	records *record.Keeper
+	router  *forward.Router
+	sweeper *claim.Sweeper
+}
+
+// newHomes joins the duties; the router's Here is set once dispatch exists.
+func (d *Daemon) newHomes() *homes {
+	h := &homes{member: &claim.Member{Self: d.self}}
+	calls := &members.Client{Peers: d.gossip}
+	h.roster = &roster.Keeper{
+		Self: d.self, Member: h.member, KV: d.store, Peers: calls, Meter: d.meter, Log: d.log,
+		NewToken: uuid.NewString,
+		Horizon:  func() time.Duration { return d.keeper.Current().Document.Defaults.RetryHorizon.Duration },
+	}
+	h.book = &claim.Book{
+		Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString, Member: h.member, Peers: calls,
+		Find:    d.gossip.ByID,
+		Refresh: func(ctx context.Context) { _ = h.roster.Refresh(ctx) },
+	}
+	h.roster.OnEvict = h.book.WriteOrphans
+	h.records = &record.Keeper{
+		Store: &record.Records{KV: d.store}, Meter: d.meter,
+		Holder: &claim.Holds{Member: h.member, Peers: calls, Meter: d.meter},
+	}
+	h.router = &forward.Router{
+		Self: d.self, Home: d.homeOf, Peers: d.gossip, Meter: d.meter,
+		Listed: func() bool { return h.member.View().Listed },
+	}
+	h.sweeper = &claim.Sweeper{
+		KV: d.store, Member: h.member, Meter: d.meter, Chosen: h.first,
+		Retention: func() time.Duration { return d.keeper.Current().Document.Defaults.ClaimRetention.Duration },
+	}
+	return h
+}
+
+// run runs the duties until ctx ends.
+func (h *homes) run(ctx context.Context) {
+	go h.roster.Run(ctx)
+	go h.book.Run(ctx)
+	go h.records.Run(ctx)
+	go h.sweeper.Run(ctx)
+}
+
+// first reports whether this VM is the first member of its roster.
+func (h *homes) first() bool {
+	all := h.member.View().Members
+	return len(all) > 0 && all[0].GetIncarnation() == h.member.Self.GetIncarnation()
+}
+
+// fill adds the roster's part of a heartbeat.
+func (h *homes) fill(hb *peerv1.HeartbeatRequest) {
+	hb.RosterVersion = h.member.RosterVersion()
+	hb.ProvenDead = h.roster.ProvenDead()
+}
+
+// heard takes a heartbeat of a peer in the same data centre.
+func (h *homes) heard(hb *peerv1.HeartbeatRequest) {
+	if hb.GetFrom().GetDataCentre() == h.member.Self.GetDataCentre() {
+		h.roster.Heard(hb.GetProvenDead(), hb.GetRosterVersion())
+	}
+}
+
+// leave hands over what this VM knows and writes to the store what waits.
+func (h *homes) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	h.roster.HandOver(ctx)
+	_ = h.book.Flush(ctx) && h.records.Flush(ctx)
+	_ = h.roster.Leave(ctx, func(ctx context.Context) bool {
+		h.book.WriteHeld()
+		return h.book.Flush(ctx) && h.records.Flush(ctx)
+	})
+}
+
+const leaveTimeout = 5 * time.Second
+
+// homeOf returns the data centre that claims the key of a request.
+func (d *Daemon) homeOf(r dispatch.Request) string {
+	head := d.keeper.Current()
+	kind, ok := head.Document.KindNamed(r.Kind)
+	if !ok || kind.Idempotent || r.Key == "" {
+		return ""
+	}
+	if r.Home != "" {
+		return r.Home
+	}
+	account, _ := head.Document.AccountNamed(r.Account)
+	return account.Home
+}
+
+const (
+	listRetryDelay = 500 * time.Millisecond
+	maxListDelay   = 10 * time.Second
+)
+
+// watchTargets follows the platform's list. Each waiting watch is one call.
+func (d *Daemon) watchTargets(ctx context.Context) {
+	backoff := store.Backoff{Min: listRetryDelay, Max: maxListDelay}
+	var after uint64
+	for ctx.Err() == nil {
+		a, err := d.vms.Watch(ctx, after)
+		if err != nil {
+			d.meter.Inc("vmlist_error")
+			backoff.Wait(ctx)
+			continue
+		}
+		backoff.Reset()
+		if a.Revision == after {
+			continue
+		}
+		after = a.Revision
+		d.takeList(a)
+	}
+}
+
+// takeList gives the roster the list of entry VMs.
+func (h *homes) takeList(a vmlist.ListAnswer) {
+	list := roster.List{Revision: a.Revision, Present: make(map[string]bool)}
+	for _, vm := range a.VMs {
+		if vm.Role == vmlist.Entry {
+			list.Present[vm.ID] = true
+		}
+	}
+	h.roster.SetList(list)
+}
--- a/internal/peer/claim/claim.go
+++ b/internal/peer/claim/claim.go
@@ -1,15 +1,15 @@
 // Package claim makes sure that a non-idempotent request is sent at most once:
-// before the send, its key is claimed.
+// before the send, its key is claimed. A claim is attached when the store holds
+// it and detached when every member of the home's roster holds it.
 package claim
 
 import (
 	"bytes"
 	"context"
 	"net/url"
+	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
@@ -19,6 +19,26 @@
 // MaxResultBytes bounds the size of a recorded result.
 const MaxResultBytes = 64 << 10
 
+// Prefix begins the store's keys of all claims.
+const Prefix = "claims/"
+
+// Times of the protocol.
+const (
+	// storeTimeout bounds the attached attempt of a key that could be claimed
+	// detached instead.
+	storeTimeout = 400 * time.Millisecond
+	// suspectTime is how long claims go detached after the store failed one.
+	suspectTime = time.Second
+	// peerTimeout bounds one call to a member.
+	peerTimeout = time.Second
+	// retryDelay is the first delay between two attempts; it doubles.
+	retryDelay = 20 * time.Millisecond
+	maxDelay   = time.Second
+	// maxAttempts bounds the attempts at one key whose former claims were
+	// abandoned.
+	maxAttempts = 4
+)
+
 // Request identifies what is to be claimed.
 type Request struct {
 	Account string
@@ -48,99 +68,268 @@
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error)
 }
 
-// Book claims keys for this VM.
+// Peers calls other members.
+type Peers interface {
+	Claim(ctx context.Context, to *peerv1.Vm, in *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error)
+	QueryClaim(ctx context.Context, to *peerv1.Vm, in *peerv1.QueryClaimRequest) (*peerv1.QueryClaimResponse, error)
+}
+
+// Book claims keys for this VM. Its fields are set before use. A Book without a
+// Member claims in the store only.
 type Book struct {
 	Self  *peerv1.Vm
 	KV    KV
 	Meter *meter.Meter
 	// NewToken returns a token that was never used before.
 	NewToken func() string
+	// Member is this VM's place in its data centre's roster.
+	Member *Member
+	Peers  Peers
+	// Find returns the VM of an id as its peers know it, nil when unknown.
+	Find func(vmID string) *peerv1.Vm
+	// Refresh reads the roster again after a member refused an older version.
+	Refresh func(ctx context.Context)
+
+	once    sync.Once
+	mu      sync.Mutex
+	suspect time.Time
+	dirty   map[id]*Ticket
+	// queue holds the keys of dirty in their order; it may hold more.
+	queue []id
+	wake  chan struct{}
 }
 
 // StoreKey returns the store's key of a claim.
 func StoreKey(account, key string) string {
-	return "claims/" + url.PathEscape(account) + "/" + url.PathEscape(key)
+	return Prefix + url.PathEscape(account) + "/" + url.PathEscape(key)
+}
+
+func (b *Book) init() {
+	b.once.Do(func() {
+		if b.Member == nil {
+			b.Member = &Member{Self: b.Self}
+		}
+		b.dirty = make(map[id]*Ticket)
+		b.wake = make(chan struct{}, 1)
+	})
+}
+
+// attempt is one attempt at a key. Its token is fresh.
+type attempt struct {
+	req Request
+	rec *peerv1.ClaimRecord
+	// replaces are the tokens that their owners abandoned.
+	replaces []string
+	// maybeWritten says that the store may hold the attempt, now or later.
+	maybeWritten bool
 }
 
 // Claim claims a key. It returns either a ticket or a recorded result, or an
 // error whose kind tells whether the request may have run.
 func (b *Book) Claim(ctx context.Context, r Request) (*Ticket, *Recorded, error) {
-	rec := &peerv1.ClaimRecord{
-		ClientAccount: r.Account, Key: r.Key, Home: r.Home,
-		VmId: b.Self.GetVmId(), Incarnation: b.Self.GetIncarnation(), Token: b.NewToken(),
-		State: peerv1.ClaimState_CLAIM_STATE_PENDING, ClaimedUnixMs: time.Now().UnixMilli(),
-		RequestDigest: r.Digest,
+	b.init()
+	if err := b.admit(r); err != nil {
+		return nil, nil, err
 	}
-	value, err := proto.Marshal(rec)
-	if err != nil {
-		return nil, nil, fault.Wrap(fault.Internal, err, "encode claim")
+	var replaces []string
+	delay := retryDelay
+	for n := 1; ; n++ {
+		t, recorded, again, err := b.try(ctx, r, replaces)
+		if again == nil {
+			return t, recorded, err
+		}
+		replaces = append(replaces, again.replaces...)
+		last := r.Home != "" && n >= maxAttempts
+		if last || !pause(ctx, delay) {
+			return nil, nil, err
+		}
+		b.Meter.Inc("claim_retry_" + again.reason)
+		delay = min(2*delay, maxDelay)
 	}
-	rev, err := b.KV.Put(ctx, StoreKey(r.Account, r.Key), value, 0)
-	if err == nil {
-		b.Meter.Inc("claim_attached")
-		return &Ticket{Record: rec, Revision: rev}, nil, nil
+}
+
+// admit refuses keys that this VM may not claim.
+func (b *Book) admit(r Request) error {
+	if r.Home == "" {
+		return nil
 	}
-	if fault.Is(err, fault.StoreUnavailable) {
-		return nil, nil, err
+	if r.Home != b.Self.GetDataCentre() {
+		return fault.New(fault.HomeUnreachable, "only %s claims the key", r.Home)
 	}
-	return b.readBack(ctx, r, rec)
+	v := b.Member.View()
+	if !v.Listed {
+		return fault.New(fault.NotReady, "this VM is not in the roster of %s yet", r.Home)
+	}
+	if time.Now().Before(v.RefuseUntil) {
+		return fault.New(fault.RetryHorizon, "claims of a lost roster are unknown until %s", v.RefuseUntil.UTC().Format(time.RFC3339))
+	}
+	return nil
 }
 
-// readBack resolves a claim that was refused or whose answer was lost.
-func (b *Book) readBack(ctx context.Context, r Request, mine *peerv1.ClaimRecord) (*Ticket, *Recorded, error) {
-	e, found, err := b.KV.Get(ctx, StoreKey(r.Account, r.Key))
-	if err != nil {
-		return nil, nil, fault.Wrap(fault.StoreUnavailable, err, "read the claim back")
+// retry says why another attempt may succeed.
+type retry struct {
+	reason   string
+	replaces []string
+}
+
+// try makes one attempt. When another one may succeed it returns a retry and
+// the error to give up with.
+func (b *Book) try(ctx context.Context, r Request, replaces []string) (*Ticket, *Recorded, *retry, error) {
+	a := b.newAttempt(r, replaces)
+	conflict, full := b.Member.Begin(a.rec, replaces, time.Now())
+	if full {
+		return nil, nil, nil, fault.New(fault.Overloaded, "too many claims are kept")
 	}
-	if !found {
-		return nil, nil, fault.New(fault.StoreUnavailable, "the claim was not written")
+	if conflict != nil {
+		return b.settle(ctx, r, conflict)
 	}
-	var rec peerv1.ClaimRecord
-	if err := proto.Unmarshal(e.Value, &rec); err != nil {
-		return nil, nil, fault.Wrap(fault.Internal, err, "decode claim")
+	if r.Home != "" && b.storeSuspect() {
+		return b.detached(ctx, a)
 	}
-	if rec.GetToken() == mine.GetToken() {
-		b.Meter.Inc("claim_answer_recovered")
-		return &Ticket{Record: mine, Revision: e.Revision}, nil, nil
+	t, recorded, again, err := b.attached(ctx, a)
+	if again == nil || again.reason != retryStore || r.Home == "" {
+		return t, recorded, again, err
 	}
-	if !bytes.Equal(rec.GetRequestDigest(), r.Digest) {
-		return nil, nil, fault.WithField(fault.KeyReused, "Idempotency-Key", "was used for another request")
+	b.suspectStore()
+	// The write of the attached attempt may still take effect: the detached
+	// one is an attempt of its own.
+	a = b.newAttempt(r, replaces)
+	if conflict, full = b.Member.Begin(a.rec, replaces, time.Now()); conflict != nil || full {
+		return nil, nil, &retry{reason: RefusedConflict}, err
 	}
-	if rec.GetState() == peerv1.ClaimState_CLAIM_STATE_DONE {
-		if !rec.GetResultKept() {
-			return nil, nil, fault.New(fault.ResultNotKept, "the request ran; its result was too large to keep")
+	return b.detached(ctx, a)
+}
+
+func (b *Book) newAttempt(r Request, replaces []string) *attempt {
+	token := b.NewToken()
+	if b.Member.off.noTokens {
+		token = b.Self.GetIncarnation()
+	}
+	return &attempt{req: r, replaces: replaces, rec: &peerv1.ClaimRecord{
+		ClientAccount: r.Account, Key: r.Key, Home: r.Home,
+		VmId: b.Self.GetVmId(), Incarnation: b.Self.GetIncarnation(), Token: token,
+		State: peerv1.ClaimState_CLAIM_STATE_PENDING, ClaimedUnixMs: time.Now().UnixMilli(),
+		RequestDigest: r.Digest,
+	}}
+}
+
+// drop abandons an attempt that was not sent.
+func (b *Book) drop(a *attempt) {
+	a.rec.State = peerv1.ClaimState_CLAIM_STATE_ABANDONED
+	b.Member.End(a.rec, time.Now())
+}
+
+// settle finds out what became of a conflicting claim: its result, that it may
+// have been sent, or that it was abandoned and another attempt may succeed.
+func (b *Book) settle(ctx context.Context, r Request, c *peerv1.ClaimRecord) (*Ticket, *Recorded, *retry, error) {
+	if !bytes.Equal(c.GetRequestDigest(), r.Digest) {
+		return nil, nil, nil, fault.WithField(fault.KeyReused, "Idempotency-Key", "was used for another request")
+	}
+	mayHaveRun := fault.New(fault.ClaimedElsewhere, "VM %s claimed the key", c.GetVmId())
+	if c.GetIncarnation() == b.Self.GetIncarnation() {
+		if c.GetState() == peerv1.ClaimState_CLAIM_STATE_DONE {
+			return b.recorded(ctx, c)
 		}
-		b.Meter.Inc("claim_result_returned")
-		return nil, &Recorded{Result: rec.GetResult()}, nil
+		return nil, nil, nil, mayHaveRun
 	}
-	return nil, nil, fault.New(fault.ClaimedElsewhere, "VM %s claimed the key", rec.GetVmId())
+	state, latest := b.ask(ctx, c)
+	switch state {
+	case peerv1.ClaimState_CLAIM_STATE_ABANDONED:
+		return nil, nil, &retry{reason: "abandoned", replaces: []string{c.GetToken()}}, mayHaveRun
+	case peerv1.ClaimState_CLAIM_STATE_DONE:
+		return b.recorded(ctx, latest)
+	}
+	return nil, nil, nil, mayHaveRun
 }
 
-// Finish records the result of a sent request.
-func (b *Book) Finish(ctx context.Context, t *Ticket, result []byte) {
-	t.Record.State = peerv1.ClaimState_CLAIM_STATE_DONE
-	if len(result) <= MaxResultBytes {
-		t.Record.Result, t.Record.ResultKept = result, true
+// ask asks a claim's owner for the strongest that it knows of the key. Only the
+// incarnation that made the claim can say that it was abandoned.
+func (b *Book) ask(ctx context.Context, c *peerv1.ClaimRecord) (peerv1.ClaimState, *peerv1.ClaimRecord) {
+	if c.GetIncarnation() == b.Self.GetIncarnation() {
+		return b.Member.Query(c.GetClientAccount(), c.GetKey())
+	}
+	resp := b.query(ctx, c.GetVmId(), c)
+	if resp.GetIncarnation() != c.GetIncarnation() {
+		return peerv1.ClaimState_CLAIM_STATE_UNSPECIFIED, nil
 	}
-	b.write(ctx, t, "claim_finish_lost")
+	if resp.GetState() != peerv1.ClaimState_CLAIM_STATE_HELD {
+		return resp.GetState(), resp.GetClaim()
+	}
+	return b.askThird(ctx, resp.GetClaim())
 }
 
-// Abandon records that the request was not sent and will not be.
-func (b *Book) Abandon(ctx context.Context, t *Ticket) {
-	t.Record.State = peerv1.ClaimState_CLAIM_STATE_ABANDONED
-	b.write(ctx, t, "claim_abandon_lost")
+// askThird asks the owner of a claim that the asked VM holds. A VM holds a
+// claim for another only after it abandoned its own.
+func (b *Book) askThird(ctx context.Context, c *peerv1.ClaimRecord) (peerv1.ClaimState, *peerv1.ClaimRecord) {
+	state := peerv1.ClaimState_CLAIM_STATE_UNSPECIFIED
+	if c.GetIncarnation() == b.Self.GetIncarnation() {
+		state, _ = b.Member.Query(c.GetClientAccount(), c.GetKey())
+	} else if resp := b.query(ctx, c.GetVmId(), c); resp.GetIncarnation() == c.GetIncarnation() {
+		state = resp.GetState()
+	}
+	if state != peerv1.ClaimState_CLAIM_STATE_ABANDONED {
+		return peerv1.ClaimState_CLAIM_STATE_HELD, nil
+	}
+	return state, nil
 }
 
-func (b *Book) write(ctx context.Context, t *Ticket, lost string) {
-	value, err := proto.Marshal(t.Record)
-	if err != nil {
-		b.Meter.Inc(lost)
-		return
+func (b *Book) query(ctx context.Context, vmID string, c *peerv1.ClaimRecord) *peerv1.QueryClaimResponse {
+	if b.Peers == nil || b.Find == nil {
+		return nil
+	}
+	vm := b.Find(vmID)
+	if vm == nil {
+		return nil
 	}
-	rev, err := b.KV.Put(ctx, StoreKey(t.Record.GetClientAccount(), t.Record.GetKey()), value, t.Revision)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	b.Meter.Inc("claim_message")
+	in := &peerv1.QueryClaimRequest{ClientAccount: c.GetClientAccount(), Key: c.GetKey(), Token: c.GetToken()}
+	resp, err := b.Peers.QueryClaim(ctx, vm, in)
 	if err != nil {
-		b.Meter.Inc(lost)
-		return
+		b.Meter.Inc("claim_query_lost")
+		return nil
+	}
+	return resp
+}
+
+// recorded returns a recorded result. A result that the store holds is read
+// from there.
+func (b *Book) recorded(ctx context.Context, c *peerv1.ClaimRecord) (*Ticket, *Recorded, *retry, error) {
+	if c.GetResultKept() && c.GetResult() == nil {
+		kept, err := b.load(ctx, c)
+		if err != nil {
+			return nil, nil, nil, fault.Wrap(fault.ClaimedElsewhere, err, "the request ran; its result cannot be read now")
+		}
+		c = kept
+	}
+	if !c.GetResultKept() {
+		return nil, nil, nil, fault.New(fault.ResultNotKept, "the request ran; its result was not kept")
 	}
-	t.Revision = rev
+	b.Meter.Inc("claim_result_returned")
+	return nil, &Recorded{Result: c.GetResult()}, nil, nil
+}
+
+// pause waits and reports whether ctx has not ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (b *Book) storeSuspect() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.suspect)
+}
+
+func (b *Book) suspectStore() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspect = time.Now().Add(suspectTime)
 }
--- /dev/null
+++ b/internal/peer/claim/holds.go
@@ -0,0 +1,65 @@
+package claim
+
+import (
+	"context"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+)
+
+// RecordPeers asks other members to keep records.
+type RecordPeers interface {
+	HoldRecord(ctx context.Context, to *peerv1.Vm, in *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error)
+}
+
+// Holds keeps records with every roster member while the store is down. Its
+// fields are set before use.
+type Holds struct {
+	Member *Member
+	Peers  RecordPeers
+	Meter  *meter.Meter
+}
+
+// Hold returns nil once every roster member holds the record.
+func (h *Holds) Hold(ctx context.Context, rec *peerv1.HeldRecord) error {
+	v := h.Member.View()
+	if !v.Listed || !v.Current {
+		return fault.New(fault.StoreUnavailable, "the roster is not known and the store cannot be read")
+	}
+	for _, vm := range v.Members {
+		if err := h.holdAt(ctx, vm, v.Version, rec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Holds) holdAt(ctx context.Context, vm *peerv1.Vm, version uint64, rec *peerv1.HeldRecord) error {
+	in := &peerv1.HoldRecordRequest{
+		From: h.Member.Self, RosterVersion: version, Record: rec, ToIncarnation: vm.GetIncarnation(),
+	}
+	if vm.GetIncarnation() == h.Member.Self.GetIncarnation() {
+		if !h.Member.HoldRecord(in) {
+			return fault.New(fault.StoreUnavailable, "this VM cannot hold the record")
+		}
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	h.Meter.Inc("record_message")
+	resp, err := h.Peers.HoldRecord(ctx, vm, in)
+	if err != nil {
+		return fault.Wrap(fault.StoreUnavailable, err, "VM %s does not hold the record", vm.GetVmId())
+	}
+	if !resp.GetHeld() {
+		return fault.New(fault.StoreUnavailable, "VM %s refused to hold the record: %s", vm.GetVmId(), resp.GetReason())
+	}
+	return nil
+}
+
+// Held returns the records held by this VM whose keys begin with prefix.
+func (h *Holds) Held(prefix string) []*peerv1.HeldRecord { return h.Member.HeldRecords(prefix) }
+
+// Flushed forgets a record that the store holds up to a sequence.
+func (h *Holds) Flushed(key string, sequence uint64) { h.Member.Flushed(key, sequence) }
--- /dev/null
+++ b/internal/peer/claim/member_test.go
@@ -0,0 +1,68 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+)
+
+func vm(incarnation string) *peerv1.Vm { return &peerv1.Vm{VmId: incarnation, Incarnation: incarnation} }
+
+func held(owner, token string) *peerv1.ClaimRecord {
+	return &peerv1.ClaimRecord{
+		ClientAccount: "counters", Key: "k", VmId: owner, Incarnation: owner, Token: token,
+		State: peerv1.ClaimState_CLAIM_STATE_SENT,
+	}
+}
+
+func grant(m *claim.Member, to string, version uint64, rec *peerv1.ClaimRecord, replaces ...string) *peerv1.ClaimResponse {
+	in := &peerv1.ClaimRequest{RosterVersion: version, Claim: rec, Replaces: replaces, ToIncarnation: to}
+	return m.Grant(in, time.Unix(0, 0))
+}
+
+// Two members hand over different claims of a key: one was abandoned, which
+// only its owner knows, the other was sent. Releasing the first leaves the
+// second in force.
+func TestAbandonedClaimDoesNotHideSentOne(t *testing.T) {
+	is := is.New(t)
+	m := &claim.Member{Self: vm("j")}
+	m.Hold([]*peerv1.ClaimRecord{held("a", "abandoned"), held("b", "sent")}, time.Unix(0, 0))
+	resp := grant(m, "j", 1, held("c", "new"), "abandoned")
+	is.Equal(resp.GetReason(), claim.RefusedConflict)
+	is.Equal(resp.GetConflict().GetToken(), "sent")
+}
+
+// A process that was restarted at a member's address knows none of its claims.
+func TestSuccessorDoesNotAnswerForMember(t *testing.T) {
+	is := is.New(t)
+	m := &claim.Member{Self: vm("x2")}
+	is.Equal(grant(m, "x1", 9, held("a", "t")).GetReason(), claim.RefusedSuccessor)
+	in := &peerv1.JoinRequest{Joiner: vm("j"), RosterVersion: 9, ToIncarnation: "x1"}
+	_, _, ok := m.Acknowledge(in)
+	is.True(!ok)
+}
+
+// An attempt that was given back by a leaving member is not sent afterwards.
+func TestClosedMemberSendsNothing(t *testing.T) {
+	is := is.New(t)
+	m := &claim.Member{Self: vm("a")}
+	rec := held("a", "t")
+	conflict, full := m.Begin(rec, nil, time.Unix(0, 0))
+	is.True(conflict == nil && !full)
+	m.Close()
+	is.True(!m.Send(rec, 0))
+	is.True(!grant(m, "a", 9, held("b", "u")).GetGranted())
+}
+
+func TestFullMemberRefuses(t *testing.T) {
+	is := is.New(t)
+	m := &claim.Member{Self: vm("a"), Limit: 1}
+	is.True(grant(m, "a", 0, held("b", "t")).GetGranted())
+	other := held("b", "u")
+	other.Key = "k2"
+	is.Equal(grant(m, "a", 0, other).GetReason(), claim.RefusedFull)
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -186,6 +186,27 @@
 	return live
 }
 
+// ByID returns the live VM of an id, nil when none is.
+func (t *Table) ByID(vmID string) *peerv1.Vm {
+	for _, p := range t.Live() {
+		if p.VM.GetVmId() == vmID {
+			return p.VM
+		}
+	}
+	return nil
+}
+
+// In returns the live VMs of a data centre that do not leave, ordered by VM id.
+func (t *Table) In(dataCentre string) []*peerv1.Vm {
+	var all []*peerv1.Vm
+	for _, p := range t.Live() {
+		if p.VM.GetDataCentre() == dataCentre && !p.VM.GetLeaving() {
+			all = append(all, p.VM)
+		}
+	}
+	return all
+}
+
 // Planner returns the VM that plans for a data centre: the longest-standing
 // live one that does not leave, ties by VM id. It is nil when none is live.
 func (t *Table) Planner(dataCentre string) *peerv1.Vm {
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServiceQueryClaimProcedure = "/dogwoodworks.peer.v1.PeerService/QueryClaim"
 	// PeerServiceJoinProcedure is the fully-qualified name of the PeerService's Join RPC.
 	PeerServiceJoinProcedure = "/dogwoodworks.peer.v1.PeerService/Join"
+	// PeerServiceLeaveProcedure is the fully-qualified name of the PeerService's Leave RPC.
+	PeerServiceLeaveProcedure = "/dogwoodworks.peer.v1.PeerService/Leave"
 	// PeerServiceHoldRecordProcedure is the fully-qualified name of the PeerService's HoldRecord RPC.
 	PeerServiceHoldRecordProcedure = "/dogwoodworks.peer.v1.PeerService/HoldRecord"
 	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
@@ -67,6 +69,8 @@
 	QueryClaim(context.Context, *peerv1.QueryClaimRequest) (*peerv1.QueryClaimResponse, error)
 	// Join asks a roster member to acknowledge a joiner.
 	Join(context.Context, *peerv1.JoinRequest) (*peerv1.JoinResponse, error)
+	// Leave hands over all that a leaving member knows.
+	Leave(context.Context, *peerv1.LeaveRequest) (*peerv1.LeaveResponse, error)
 	// HoldRecord asks a roster member to keep a record until the store holds it.
 	HoldRecord(context.Context, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error)
 	// FetchConfig returns the sections that changed since a version.
@@ -116,6 +120,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[peerv1.LeaveRequest, peerv1.LeaveResponse](
+			httpClient,
+			baseURL+PeerServiceLeaveProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 		holdRecord: connect.NewClient[peerv1.HoldRecordRequest, peerv1.HoldRecordResponse](
 			httpClient,
 			baseURL+PeerServiceHoldRecordProcedure,
@@ -161,6 +171,7 @@
 	claim          *connect.Client[peerv1.ClaimRequest, peerv1.ClaimResponse]
 	queryClaim     *connect.Client[peerv1.QueryClaimRequest, peerv1.QueryClaimResponse]
 	join           *connect.Client[peerv1.JoinRequest, peerv1.JoinResponse]
+	leave          *connect.Client[peerv1.LeaveRequest, peerv1.LeaveResponse]
 	holdRecord     *connect.Client[peerv1.HoldRecordRequest, peerv1.HoldRecordResponse]
 	fetchConfig    *connect.Client[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse]
 	forwardRequest *connect.Client[peerv1.ForwardRequestRequest, peerv1.ForwardRequestResponse]
@@ -205,6 +216,15 @@
 	return nil, err
 }
 
+// Leave calls dogwoodworks.peer.v1.PeerService.Leave.
+func (c *peerServiceClient) Leave(ctx context.Context, req *peerv1.LeaveRequest) (*peerv1.LeaveResponse, error) {
+	response, err := c.leave.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // HoldRecord calls dogwoodworks.peer.v1.PeerService.HoldRecord.
 func (c *peerServiceClient) HoldRecord(ctx context.Context, req *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error) {
 	response, err := c.holdRecord.CallUnary(ctx, connect.NewRequest(req))
@@ -269,6 +289,8 @@
 	QueryClaim(context.Context, *peerv1.QueryClaimRequest) (*peerv1.QueryClaimResponse, error)
 	// Join asks a roster member to acknowledge a joiner.
 	Join(context.Context, *peerv1.JoinRequest) (*peerv1.JoinResponse, error)
+	// Leave hands over all that a leaving member knows.
+	Leave(context.Context, *peerv1.LeaveRequest) (*peerv1.LeaveResponse, error)
 	// HoldRecord asks a roster member to keep a record until the store holds it.
 	HoldRecord(context.Context, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error)
 	// FetchConfig returns the sections that changed since a version.
@@ -314,6 +336,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceLeaveHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(peerServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceHoldRecordHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceHoldRecordProcedure,
 		svc.HoldRecord,
@@ -360,6 +388,8 @@
 			peerServiceQueryClaimHandler.ServeHTTP(w, r)
 		case PeerServiceJoinProcedure:
 			peerServiceJoinHandler.ServeHTTP(w, r)
+		case PeerServiceLeaveProcedure:
+			peerServiceLeaveHandler.ServeHTTP(w, r)
 		case PeerServiceHoldRecordProcedure:
 			peerServiceHoldRecordHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigProcedure:
@@ -397,6 +427,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.Join is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Leave(context.Context, *peerv1.LeaveRequest) (*peerv1.LeaveResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.Leave is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) HoldRecord(context.Context, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.HoldRecord is not implemented"))
 }
--- a/internal/peer/serve/serve.go
+++ b/internal/peer/serve/serve.go
@@ -4,12 +4,16 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/forward"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/gossip"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/roster"
 )
 
 // Service implements the peer service. Its fields are set before use.
@@ -17,6 +21,9 @@
 	peerv1connect.UnimplementedPeerServiceHandler
 
 	Gossip  *gossip.Table
+	Member  *claim.Member
+	Roster  *roster.Keeper
+	Forward *forward.Router
 	Planner job.Planner
 	Desk    *job.Desk
 }
@@ -61,3 +68,34 @@
 	}
 	return resp, nil
 }
+
+// Claim holds a claim for another member.
+func (s *Service) Claim(_ context.Context, in *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
+	return s.Member.Grant(in, time.Now()), nil
+}
+
+// QueryClaim tells what this VM knows about a key.
+func (s *Service) QueryClaim(_ context.Context, in *peerv1.QueryClaimRequest) (*peerv1.QueryClaimResponse, error) {
+	return s.Member.AnswerQuery(in), nil
+}
+
+// Join acknowledges a joiner.
+func (s *Service) Join(_ context.Context, in *peerv1.JoinRequest) (*peerv1.JoinResponse, error) {
+	return s.Roster.Acknowledge(in), nil
+}
+
+// Leave takes what a leaving member hands over.
+func (s *Service) Leave(_ context.Context, in *peerv1.LeaveRequest) (*peerv1.LeaveResponse, error) {
+	s.Roster.TakeLeave(in)
+	return &peerv1.LeaveResponse{}, nil
+}
+
+// HoldRecord keeps a record until the store holds it.
+func (s *Service) HoldRecord(_ context.Context, in *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error) {
+	return &peerv1.HoldRecordResponse{Held: s.Member.HoldRecord(in)}, nil
+}
+
+// ForwardRequest serves a request that another VM took.
+func (s *Service) ForwardRequest(ctx context.Context, in *peerv1.ForwardRequestRequest) (*peerv1.ForwardRequestResponse, error) {
+	return s.Forward.Serve(ctx, in), nil
+}
--- /dev/null
+++ b/internal/platform/store/backoff.go
@@ -0,0 +1,34 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff gives growing delays, each shortened by a random share up to a half.
+type Backoff struct {
+	// Min is the first delay, Max the longest one.
+	Min, Max time.Duration
+
+	delay time.Duration
+}
+
+// Next returns the next delay.
+func (b *Backoff) Next() time.Duration {
+	b.delay = min(max(2*b.delay, b.Min), b.Max)
+	return b.delay/2 + rand.N(b.delay/2+1)
+}
+
+// Reset makes the next delay the first one.
+func (b *Backoff) Reset() { b.delay = 0 }
+
+// Wait waits for the next delay or until ctx ends.
+func (b *Backoff) Wait(ctx context.Context) {
+	t := time.NewTimer(b.Next())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -46,6 +46,8 @@
 	Entries []Entry `json:"entries"`
 	// Revision is the store's revision at the time of the answer.
 	Revision uint64 `json:"revision"`
+	// More says that keys after the last entry were left out of a page.
+	More bool `json:"more,omitempty"`
 }
 
 // PutAnswer is the answer to a write.
@@ -71,11 +73,23 @@
 	// CallTimeout bounds one call other than a watch.
 	CallTimeout time.Duration
 	HTTP        *http.Client
+	// Budget bounds the calls of this client.
+	Budget Budget
+
+	reads reads
 }
 
 func (c *Client) call(ctx context.Context, name, method, path string, in, out any, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	waited, ok := c.Budget.Take(ctx)
+	if waited {
+		c.Meter.Inc("store_budget_waits")
+	}
+	if !ok {
+		c.Meter.Inc("store_budget_refusals")
+		return fault.New(fault.StoreUnavailable, "no call was made: the budget of calls is spent")
+	}
 	c.Meter.Inc("store_call_" + name)
 	h := jsonhttp.Client{BaseURL: c.BaseURL, HTTP: c.HTTP}
 	err := h.Call(ctx, method, path, in, out)
@@ -100,7 +114,22 @@
 }
 
 // Get returns the entry of a key; found is false when the key does not exist.
-func (c *Client) Get(ctx context.Context, key string) (e Entry, found bool, err error) {
+// Equal reads at the same time share a call.
+func (c *Client) Get(ctx context.Context, key string) (Entry, bool, error) {
+	e, found, shared, err := c.reads.get(ctx, key, func() (Entry, bool, error) {
+		// Others may wait for this call, so it does not end with its caller.
+		return c.get(context.WithoutCancel(ctx), key)
+	})
+	if shared {
+		c.Meter.Inc("store_read_shared")
+	}
+	if err != nil && fault.KindOf(err) == fault.Internal {
+		err = fault.Wrap(fault.StoreUnavailable, err, "store")
+	}
+	return e, found, err
+}
+
+func (c *Client) get(ctx context.Context, key string) (e Entry, found bool, err error) {
 	err = c.call(ctx, "get", http.MethodGet, "/v1/kv/get?key="+url.QueryEscape(key), nil, &e, c.timeout())
 	if fault.Is(err, fault.NotFound) {
 		return Entry{}, false, nil
@@ -115,6 +144,15 @@
 	return a.Entries, a.Revision, err
 }
 
+// ListPage returns at most limit entries whose keys begin with prefix and are
+// after a key, in the order of their keys, and whether there are more.
+func (c *Client) ListPage(ctx context.Context, prefix, after string, limit int) ([]Entry, bool, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	var a ListAnswer
+	err := c.call(ctx, "list", http.MethodGet, "/v1/kv/list?"+q.Encode(), nil, &a, c.timeout())
+	return a.Entries, a.More, err
+}
+
 // Put writes a key whose revision is ifRevision and returns the new revision.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error) {
 	var a PutAnswer
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -4,6 +4,9 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"strconv"
+	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 )
@@ -55,6 +58,26 @@
 	HTTP    *http.Client
 }
 
+// DefaultWatchTimeout bounds how long one watch waits.
+const DefaultWatchTimeout = 15 * time.Second
+
+const watchGrace = 2 * time.Second
+
+// Watch returns the list as soon as its revision is not the given one, or the
+// unchanged list after DefaultWatchTimeout.
+func (c *Client) Watch(ctx context.Context, after uint64) (ListAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, DefaultWatchTimeout+watchGrace)
+	defer cancel()
+	q := url.Values{
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(DefaultWatchTimeout.Milliseconds(), 10)},
+	}
+	var a ListAnswer
+	h := jsonhttp.Client{BaseURL: c.BaseURL, HTTP: c.HTTP}
+	err := h.Call(ctx, http.MethodGet, "/v1/vms?"+q.Encode(), nil, &a)
+	return a, err
+}
+
 // List returns the platform's current list.
 func (c *Client) List(ctx context.Context) (ListAnswer, error) {
 	var a ListAnswer
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"math"
 	"net/http"
 	"sort"
 	"strconv"
@@ -34,6 +35,8 @@
 	revision uint64
 	changed  chan struct{}
 	vms      vmlist.ListAnswer
+	// vmsChanged is closed when the list changes.
+	vmsChanged chan struct{}
 }
 
 // Register adds the paths of the store and of the list.
@@ -61,16 +64,27 @@
 
 func (p *Platform) list(c echo.Context) error {
 	p.Meter.Inc("list")
-	prefix := c.QueryParam("prefix")
+	limit := math.MaxInt
+	if s := c.QueryParam("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 {
+			return fault.WithField(fault.BadRequest, "limit", "is not a positive number")
+		}
+		limit = n
+	}
+	prefix, after := c.QueryParam("prefix"), c.QueryParam("after")
 	p.mu.Lock()
 	a := store.ListAnswer{Revision: p.revision}
 	for key, e := range p.entries {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			a.Entries = append(a.Entries, e)
 		}
 	}
 	p.mu.Unlock()
 	sort.Slice(a.Entries, func(i, j int) bool { return a.Entries[i].Key < a.Entries[j].Key })
+	if len(a.Entries) > limit {
+		a.Entries, a.More = a.Entries[:limit], true
+	}
 	return c.JSON(http.StatusOK, a)
 }
 
@@ -167,9 +181,39 @@
 
 func (p *Platform) listVMs(c echo.Context) error {
 	p.Meter.Inc("vms")
+	after, waitMS := uint64(math.MaxUint64), int64(0)
+	if s := c.QueryParam("after"); s != "" {
+		var err error
+		if after, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return fault.WithField(fault.BadRequest, "after", "is not a revision")
+		}
+		if waitMS, err = strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64); err != nil {
+			return fault.WithField(fault.BadRequest, "wait_ms", "is not a number")
+		}
+	}
+	deadline := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		a, changed := p.currentVMs()
+		if a.Revision != after {
+			return c.JSON(http.StatusOK, a)
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return c.JSON(http.StatusOK, a)
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+func (p *Platform) currentVMs() (vmlist.ListAnswer, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return c.JSON(http.StatusOK, p.vms)
+	if p.vmsChanged == nil {
+		p.vmsChanged = make(chan struct{})
+	}
+	return p.vms, p.vmsChanged
 }
 
 func (p *Platform) setVMs(c echo.Context) error {
@@ -187,4 +231,8 @@
 	defer p.mu.Unlock()
 	p.vms.VMs = vms
 	p.vms.Revision++
+	if p.vmsChanged != nil {
+		close(p.vmsChanged)
+		p.vmsChanged = nil
+	}
 }
