Prove claims with real processes and measure their cost

Cause: nothing showed that requests with a key go on through outages.

Ruled out: a watch per VM on its roster; the version in the heartbeats tells when to read it, so an idle VM makes no call for it.

Conclusion: the store's outages no longer stop the home's own keys.

--- a/internal/peer/claim/member_test.go
+++ b/internal/peer/claim/member_test.go
@@ -10,7 +10,9 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 )
 
-func vm(incarnation string) *peerv1.Vm { return &peerv1.Vm{VmId: incarnation, Incarnation: incarnation} }
+func vm(incarnation string) *peerv1.Vm {
+	return &peerv1.Vm{VmId: incarnation, Incarnation: incarnation}
+}
 
 func held(owner, token string) *peerv1.ClaimRecord {
 	return &peerv1.ClaimRecord{
--- a/internal/platform/record/held.go
+++ b/internal/platform/record/held.go
@@ -40,6 +40,9 @@
 	flushDelay   = 500 * time.Millisecond
 	maxFlush     = 10 * time.Second
 	flushTimeout = 10 * time.Second
+	// holderDelay is how long a VM keeps a record for the member that wrote
+	// it before it writes the record itself.
+	holderDelay = 30 * time.Second
 )
 
 // Save returns nil once the record, or one of a higher sequence, is kept in the
@@ -100,9 +103,6 @@
 	}
 }
 
-// Wake makes Run write the records that another member had this VM hold.
-func (k *Keeper) Wake() { k.wakeUp() }
-
 // Run writes held records to the store in the background until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	backoff := store.Backoff{Min: flushDelay, Max: maxFlush}
@@ -112,6 +112,7 @@
 			select {
 			case <-ctx.Done():
 			case <-k.wakes():
+			case <-time.After(holderDelay):
 			}
 			continue
 		}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -30,6 +30,8 @@
 type Network struct {
 	Seed  uint64
 	Rates Rates
+	// Hop is the time of one way of every call; random when 0.
+	Hop time.Duration
 
 	mu       sync.Mutex
 	counts   map[string]uint64
@@ -65,6 +67,9 @@
 	_, _ = h.Write([]byte(link))
 	r := rand.New(rand.NewPCG(n.Seed^h.Sum64(), n.counts[link]))
 	f := fate{hop: 1 + time.Duration(r.Int64N(int64(maxHop))), back: 1 + time.Duration(r.Int64N(int64(maxHop)))}
+	if n.Hop != 0 {
+		f.hop, f.back = n.Hop, n.Hop
+	}
 	p := r.Float64()
 	switch {
 	case p < n.Rates.LoseRequest:
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	running int
 	starts  map[string]int
+	// payloads counts the starts by payload.
+	payloads map[string]int
 }
 
 // DefaultSlots is the number of requests that a runner serves at once.
@@ -53,6 +55,17 @@
 	return all
 }
 
+// StartsByPayload returns how often each payload was started.
+func (r *Runner) StartsByPayload() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[string]int, len(r.payloads))
+	for payload, n := range r.payloads {
+		all[payload] = n
+	}
+	return all
+}
+
 func (r *Runner) listStarts(c echo.Context) error {
 	return c.JSON(http.StatusOK, r.Starts())
 }
@@ -75,6 +88,7 @@
 		return notStarted(c, target.NotStartedBusy)
 	}
 	defer r.end()
+	r.countPayload(string(payload))
 	time.Sleep(r.ServiceTime)
 	if o.FailStarts {
 		return c.NoContent(http.StatusInternalServerError)
@@ -106,6 +120,15 @@
 	return true
 }
 
+func (r *Runner) countPayload(payload string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.payloads == nil {
+		r.payloads = make(map[string]int)
+	}
+	r.payloads[payload]++
+}
+
 func (r *Runner) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
