--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -27,12 +27,10 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
-	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/gossip"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/record"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
@@ -50,6 +48,7 @@
 	gossip   *gossip.Table
 	dispatch *dispatch.Dispatcher
 	planner  *planner.Planner
+	homes    *homes
 	desk     *job.Desk
 
 	callers   *echo.Echo
@@ -84,6 +83,7 @@
 		Source: d.fillHeartbeat, Sink: d.takeHeartbeat,
 	}
 	d.joinConfiguration()
+	d.homes = d.newHomes()
 	d.joinWork()
 	d.joinListeners(token)
 	return d
@@ -102,9 +102,10 @@
 }
 
 func (d *Daemon) joinWork() {
-	records := &job.Records{Keeper: &record.Records{KV: d.store}}
-	claims := &claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString}
+	records := &job.Records{Keeper: d.homes.records}
+	claims := d.homes.book
 	d.dispatch = d.newDispatcher(claims)
+	d.homes.router.Here = d.dispatch
 	d.planner = &planner.Planner{
 		DataCentre: d.settings.DataCentre, VMID: d.settings.VMID, Config: d.keeper.Current, Chosen: d.chosen,
 		Records: records, Claims: claims, Meter: d.meter, Log: d.log,
@@ -117,7 +118,7 @@
 	limits := d.limits()
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
-		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
+		DataCentre: d.settings.DataCentre, Requests: d.homes.router, Jobs: d.desk,
 		Config: d.keeper.Current, Ready: d.Ready, Loaded: d.loaded.Load, Meter: d.meter,
 	}
 	c.Register(d.callers)
@@ -126,7 +127,10 @@
 	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
 	o.Register(d.operators)
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper}))
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{
+		Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper,
+		Member: d.homes.member, Roster: d.homes.roster, Forward: d.homes.router,
+	}))
 	d.peers = jsonhttp.NewServer(d.peerLimits(), d.meter, mux)
 }
 
@@ -147,6 +151,7 @@
 	hb.ConfigVersion = d.keeper.Current().Version
 	hb.From.ConfigVersion = hb.ConfigVersion
 	d.fillRequests(hb)
+	d.homes.fill(hb)
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -166,6 +171,7 @@
 	go d.watchTargets(duties)
 	go d.planner.Run(duties)
 	go d.desk.Run(duties)
+	d.homes.run(duties)
 	d.log.Info("serving", "vm", d.settings.VMID, "data_centre", d.settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -192,8 +198,9 @@
 }
 
 const (
-	loadRetryDelay  = 500 * time.Millisecond
-	refreshInterval = time.Second
+	loadRetryDelay = 500 * time.Millisecond
+	// refreshTimeout bounds the first read of the platform's list.
+	refreshTimeout = time.Second
 )
 
 // load reads the first configuration; the VM is not ready before.
@@ -217,21 +224,19 @@
 	}
 }
 
-func (d *Daemon) watchTargets(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, refreshInterval)
-		d.refreshTargets(ctx)
-	}
-}
-
 func (d *Daemon) refreshTargets(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, refreshInterval)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	a, err := d.vms.List(ctx)
 	if err != nil {
 		d.meter.Inc("vmlist_error")
 		return
 	}
+	d.takeList(a)
+}
+
+// takeList takes the platform's list.
+func (d *Daemon) takeList(a vmlist.ListAnswer) {
 	var runners, workers, allWorkers []vmlist.VM
 	var peers []string
 	var entries []vmlist.VM
@@ -251,6 +256,7 @@
 	}
 	d.gossip.Addresses(peers)
 	d.setTargets(a.VMs)
+	d.homes.takeList(a)
 	d.dispatch.SetEntryVMs(entries)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
@@ -266,6 +272,7 @@
 		Log: d.log, Timeout: d.settings.Limits.DrainTimeout.Duration,
 		Leave:     func() { d.draining.Store(true) },
 		Requests:  d.dispatch,
+		HandOver:  d.homes.leave,
 		Listeners: []drain.Listener{d.callers.Server, d.operators.Server, d.peers},
 	}
 	return p.Run()
--- a/internal/control/daemon/requests.go
+++ b/internal/control/daemon/requests.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// takeHeartbeat takes the leaving targets that a peer has seen.
+// takeHeartbeat takes what a peer says of the roster and of leaving targets.
 func (d *Daemon) takeHeartbeat(hb *peerv1.HeartbeatRequest) {
+	d.homes.heard(hb)
 	for _, t := range hb.GetLeaving() {
 		d.dispatch.MarkLeaving(t.GetTargetId(), time.UnixMilli(t.GetSeenUnixMs()))
 	}
--- a/internal/control/drain/drain.go
+++ b/internal/control/drain/drain.go
@@ -40,6 +40,9 @@
 	// Leave takes the readiness back and tells the peers.
 	Leave    func()
 	Requests Requests
+	// HandOver gives to the peers and the store what only this VM knows, when
+	// all requests are finished; nil for nothing.
+	HandOver func(ctx context.Context)
 	// Listeners are shut down when all requests are finished.
 	Listeners []Listener
 }
@@ -53,6 +56,9 @@
 	p.Leave()
 	p.wait(ctx)
 	err := p.Requests.Drain(ctx)
+	if p.HandOver != nil {
+		p.HandOver(ctx)
+	}
 	if shut := p.shutDown(ctx); err == nil {
 		err = shut
 	}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -83,6 +83,19 @@
 	(*m)[id]++
 }
 
+// StartsByPayload returns how often each payload of any kind was started.
+func (r *Runner) StartsByPayload() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[string]int)
+	for _, payloads := range r.payloads {
+		for payload, n := range payloads {
+			all[payload] += n
+		}
+	}
+	return all
+}
+
 func (r *Runner) listStarts(c echo.Context) error {
 	return c.JSON(http.StatusOK, r.Starts())
 }
