--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -130,7 +130,7 @@
 	p := s.vms[args[0]].(*process)
 	p.dead = true
 	if code := p.Stop(); code != 0 {
-		ts.Fatalf("%s ended with %d", args[0], code)
+		ts.Fatalf("%s ended with %d:\n%s", args[0], code, p.Log())
 	}
 }
 
@@ -408,6 +408,11 @@
 
 // end checks what must hold in every script.
 func (s *scene) end(ts *testscript.TestScript, _ bool, _ []string) {
+	for id, d := range s.fleet.Daemons {
+		if log := d.Log(); strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic:") {
+			ts.Fatalf("log of %s:\n%s", id, log)
+		}
+	}
 	states := make(map[job.State]int)
 	for name, id := range s.jobs {
 		s.until(ts, name+" has ended", func() bool {
