Name workers in the gang scripts by the job that they hold

Cause: the scripts named w1 or w2 as a member of a gang, which held with first fit only. With the block placement some acted on an idle worker, and one waited without end for a start that went elsewhere.

Ruled out: a placement for tests alone.

Change: @j1 stands for the first worker of j1; `back` returns workers to the list; the wait for a start is bounded. Scripts without daemons claim in the store only, since their planners have no roster.

--- a/internal/proof/gangs/gangs_test.go
+++ b/internal/proof/gangs/gangs_test.go
@@ -51,7 +51,8 @@
 			"planner": s.planner, "choose": s.choose, "die": s.die, "drain": s.drain, "revive": s.revive, "signal": s.signal,
 			"submit": s.submit, "cancel": s.cancel, "job": s.job, "fault": s.fault, "cut": s.cut, "store": s.store,
 			"restart": s.restart, "hold": s.hold, "arrived": s.arrived, "pass": s.pass, "started": s.started, "counter": s.counter, "counted": s.counted, "refused": s.refused, "sleep": s.sleep,
-			"starts": s.starts, "empty": s.empty, "forgot": s.forgot, "gone": s.gone, "calls": s.calls, "kept": s.kept, "chaos": s.chaos, "end": s.end,
+			"starts": s.starts, "empty": s.empty, "forgot": s.forgot, "gone": s.gone,
+			"back": s.back, "calls": s.calls, "kept": s.kept, "chaos": s.chaos, "end": s.end,
 		},
 	})
 }
--- a/internal/proof/gangs/scene_test.go
+++ b/internal/proof/gangs/scene_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -38,13 +39,20 @@
 	holds   map[string]*hold
 	// listed are the VMs on the platform's list.
 	listed []vmlist.VM
+	// aliases are the workers that names such as @j1 stand for.
+	aliases map[string]string
+	// all is the list at the start.
+	all []vmlist.VM
 }
 
+// scriptTimeout bounds the wait for what a script says must happen.
+const scriptTimeout = 30 * time.Second
+
 func newScene(t *testing.T, o map[string]string) *scene {
 	s := &scene{
 		t: t, fleet: fleet.Start(t, spec(t, o)), options: o,
 		vms: make(map[string]vm), jobs: make(map[string]string), records: make(map[string]job.Record),
-		holds: make(map[string]*hold),
+		holds: make(map[string]*hold), aliases: make(map[string]string),
 	}
 	doc := document(t, o)
 	s.doc = doc
@@ -52,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.listed = list.VMs
+	s.listed, s.all = list.VMs, list.VMs
 	s.nameDaemons()
 	s.checker = &checker{workers: s.fleet.Workers, limit: doc.Defaults.Lease.Duration, since: make(map[worker.Part]time.Time)}
 	done := make(chan struct{})
@@ -91,7 +99,7 @@
 
 // until waits for a condition.
 func (s *scene) until(ts *testscript.TestScript, what string, condition func() bool) {
-	end := time.Now().Add(30 * time.Second)
+	end := time.Now().Add(scriptTimeout)
 	for !condition() {
 		if time.Now().After(end) {
 			ts.Fatalf("not so: %s", what)
@@ -204,14 +212,14 @@
 func (s *scene) fault(ts *testscript.TestScript, _ bool, args []string) {
 	var o faults.Orders
 	ts.Check(json.Unmarshal([]byte(args[1]), &o))
-	s.fleet.Workers[args[0]].Faults.Replace(o)
+	s.fleet.Workers[s.worker(args[0])].Faults.Replace(o)
 }
 
 // cut WORKER pass|refuse|silent|frozen [VM] sets a worker's relay, for all or for
 // one VM.
 func (s *scene) cut(_ *testscript.TestScript, _ bool, args []string) {
 	modes := map[string]relay.Mode{"pass": relay.Pass, "refuse": relay.Refuse, "silent": relay.Silent}
-	r, ok := s.fleet.WorkerRelays[args[0]]
+	r, ok := s.fleet.WorkerRelays[s.worker(args[0])]
 	if !ok {
 		r = s.daemon(args[0]).Relay
 	}
@@ -239,12 +247,21 @@
 
 // restart WORKER ends its parts and forgets them.
 func (s *scene) restart(_ *testscript.TestScript, _ bool, args []string) {
-	s.fleet.Workers[args[0]].Restart()
+	s.fleet.Workers[s.worker(args[0])].Restart()
 }
 
-// gone WORKER takes a worker off the platform's list.
+// gone WORKER... takes workers off the platform's list.
 func (s *scene) gone(_ *testscript.TestScript, _ bool, args []string) {
-	vms := slices.DeleteFunc(slices.Clone(s.listed), func(vm vmlist.VM) bool { return vm.ID == args[0] })
+	for _, name := range args {
+		id := s.worker(name)
+		s.list(slices.DeleteFunc(slices.Clone(s.listed), func(vm vmlist.VM) bool { return vm.ID == id }))
+	}
+}
+
+// back puts all workers on the platform's list again.
+func (s *scene) back(*testscript.TestScript, bool, []string) { s.list(s.all) }
+
+func (s *scene) list(vms []vmlist.VM) {
 	s.listed = vms
 	s.fleet.Platform.SetVMs(vms)
 	for _, v := range s.vms {
@@ -254,6 +271,28 @@
 	}
 }
 
+// worker returns the id of a worker. A name such as @j1 stands for the first
+// worker that held a part of j1 when the script first used the name.
+func (s *scene) worker(name string) string {
+	job, ok := strings.CutPrefix(name, "@")
+	if !ok {
+		return name
+	}
+	if id, ok := s.aliases[name]; ok {
+		return id
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.Workers)) {
+		for _, p := range s.fleet.Workers[id].Parts() {
+			if p.JobID == s.jobs[job] {
+				s.aliases[name] = id
+				return id
+			}
+		}
+	}
+	s.t.Fatalf("no worker holds a part of %s", job)
+	return ""
+}
+
 // hold are the starts that are kept back at one worker.
 type hold struct {
 	arrived chan struct{}
@@ -278,9 +317,13 @@
 }
 
 // arrived WORKER... waits until a start is kept back at each.
-func (s *scene) arrived(_ *testscript.TestScript, _ bool, args []string) {
+func (s *scene) arrived(ts *testscript.TestScript, _ bool, args []string) {
 	for _, id := range args {
-		<-s.holds[id].arrived
+		select {
+		case <-s.holds[id].arrived:
+		case <-time.After(scriptTimeout):
+			ts.Fatalf("no start arrived at %s", id)
+		}
 	}
 }
 
--- a/internal/proof/gangs/vm_test.go
+++ b/internal/proof/gangs/vm_test.go
@@ -116,6 +116,16 @@
 
 func (o onlySelf) Planner(string) *peerv1.Vm { return o.self }
 
+// inStore claims in the store only: the planners of a script without daemons
+// have no roster.
+type inStore struct{ *claim.Book }
+
+// Claim claims a key without its home.
+func (b inStore) Claim(ctx context.Context, r claim.Request) (*claim.Ticket, *claim.Recorded, error) {
+	r.Home = ""
+	return b.Book.Claim(ctx, r)
+}
+
 func newLocal(f *fleet.Fleet, vms []vmlist.VM, doc config.Document, checkpoints time.Duration) *local {
 	l := &local{}
 	self := &peerv1.Vm{VmId: uuid.NewString(), Incarnation: uuid.NewString(), DataCentre: dataCentre}
@@ -126,7 +136,7 @@
 		DataCentre: dataCentre, VMID: self.VmId, Chosen: l.chosen.Load,
 		Config:  func() config.Head { return config.Head{Header: config.Header{Version: 1}, Document: doc} },
 		Records: records, Meter: &l.meter, Log: slog.New(slog.DiscardHandler), HTTP: client,
-		Claims:             &claim.Book{Self: self, KV: kv, Meter: &l.meter, NewToken: uuid.NewString},
+		Claims:             inStore{&claim.Book{Self: self, KV: kv, Meter: &l.meter, NewToken: uuid.NewString}},
 		CheckpointInterval: checkpoints,
 	}
 	l.planner.SetWorkers(vms)
