--- a/internal/control/config/keeper.go
+++ b/internal/control/config/keeper.go
@@ -65,7 +65,8 @@
 type Peers interface {
 	// Live returns the peers that were heard of lately.
 	Live() []Peer
-	// Expected returns the number of peers that this VM knows of, live or not.
+	// Expected returns the number of peers, live or not, that a fresh VM should
+	// hear of before it serves.
 	Expected() int
 	// Fetch returns what changed since a version, everything since 0.
 	Fetch(ctx context.Context, address string, have uint64) (Update, error)
--- a/internal/control/daemon/configuration.go
+++ b/internal/control/daemon/configuration.go
@@ -44,13 +44,19 @@
 	return peers
 }
 
-// Expected returns the number of peers that the platform's list names or, while
-// it is unknown, the seeds.
+// Expected returns the number of peers that the platform's list names in this
+// data centre; one when it names only others; the seeds while it is unknown.
 func (p configPeers) Expected() int {
 	if p.daemon.list() == nil {
 		return len(p.daemon.settings.Peers.Seeds)
 	}
-	return len(p.daemon.otherEntries())
+	others, near := p.daemon.otherEntries(), 0
+	for _, vm := range others {
+		if vm.DataCentre == p.daemon.settings.DataCentre {
+			near++
+		}
+	}
+	return max(near, min(len(others), 1))
 }
 
 // Fetch asks a peer for what changed since a version.
--- a/internal/proof/input/input_test.go
+++ b/internal/proof/input/input_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -46,6 +47,9 @@
 func TestBadInput(t *testing.T) {
 	f := fleet.Start(t, fleet.Spec{VMs: []fleet.VM{{ID: "a", DataCentre: "uppland-1", Region: "uppland"}}, Config: configuration})
 	d := f.Daemons["a"]
+	f.Until(10*time.Second, "the planner knows the jobs", func() bool {
+		return fault.Is(d.CallerClient().Call(t.Context(), http.MethodGet, "/v1/jobs/nothing", nil, nil), fault.NotFound)
+	})
 	table, err := os.ReadFile("testdata/bad_input.tsv")
 	if err != nil {
 		t.Fatal(err)
