--- a/internal/bench/config/config_test.go
+++ b/internal/bench/config/config_test.go
@@ -128,6 +128,36 @@
 	return e, found, err
 }
 
+// endpoint serves a VM's configuration on a connection whose bytes are counted.
+type endpoint struct {
+	listener *countingListener
+	server   *httptest.Server
+	client   peerv1connect.PeerServiceClient
+}
+
+func newEndpoint(v *memory.VM) *endpoint {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Config: v}))
+	server := httptest.NewUnstartedServer(mux)
+	l := &countingListener{Listener: server.Listener}
+	server.Listener = l
+	server.Start()
+	return &endpoint{l, server, peerv1connect.NewPeerServiceClient(server.Client(), server.URL)}
+}
+
+func (e *endpoint) fetch(t *testing.T, have uint64) {
+	t.Helper()
+	if _, err := e.client.FetchConfig(context.Background(), &peerv1.FetchConfigRequest{HaveVersion: have}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// close ends the endpoint and returns the bytes of all its calls.
+func (e *endpoint) close() float64 {
+	e.server.Close()
+	return float64(e.listener.bytes.Load())
+}
+
 func measureBytes(t *testing.T) []report.Measure {
 	r := rand.New(rand.NewPCG(1, 1))
 	kv := &memory.Store{}
@@ -135,21 +165,7 @@
 	editor := n.Add("a", "dc", kv)
 	counted := &countingStore{Store: kv}
 	watcher := n.Add("b", "dc", counted)
-	l := &countingListener{}
-	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Config: editor}))
-	server := httptest.NewUnstartedServer(mux)
-	l.Listener, server.Listener = server.Listener, l
-	server.Start()
-	defer server.Close()
-	client := peerv1connect.NewPeerServiceClient(server.Client(), server.URL)
-	fetch := func(have uint64) float64 {
-		before := l.bytes.Load()
-		if _, err := client.FetchConfig(context.Background(), &peerv1.FetchConfigRequest{HaveVersion: have}); err != nil {
-			t.Fatal(err)
-		}
-		return float64(l.bytes.Load() - before)
-	}
+	forChanged, forWhole, forBehind := newEndpoint(editor), newEndpoint(editor), newEndpoint(editor)
 	file := newFile(r)
 	apply(t, editor, file, "first")
 	if err := watcher.Load(context.Background()); err != nil {
@@ -157,13 +173,13 @@
 	}
 	counted.bytes = 0
 	calls := kv.Calls()
-	var changed, whole float64
 	for i := range changes {
 		file.change(r, i)
 		apply(t, editor, file, fmt.Sprint("edit-", i))
-		changed += fetch(editor.Current().Version - 1)
-		whole += fetch(0)
+		forChanged.fetch(t, editor.Current().Version-1)
+		forWhole.fetch(t, 0)
 	}
+	changed, whole := forChanged.close(), forWhole.close()
 	perEdit := float64(kv.Calls()-calls) / changes
 	read := float64(0)
 	for i := range changes {
@@ -175,7 +191,8 @@
 	}
 	read = float64(counted.bytes) / changes
 	perSecond := func(perChange float64) float64 { return perChange * changesPerDay / secondsPerDay }
-	behind := fetch(editor.Current().Version - 32)
+	forBehind.fetch(t, editor.Current().Version-32)
+	behind := forBehind.close()
 	f := report.F
 	return []report.Measure{
 		{Name: "document of the operators", Unit: "B", Value: float64(len(file.toml()))},
@@ -191,7 +208,7 @@
 // measureSpread returns the longest time in force of single edits and of a
 // burst, in simulated time, with the watching VM of a data centre killed.
 func measureSpread(t *testing.T) []report.Measure {
-	var single, bursts, killed, idle float64
+	var single, bursts, killed, outage, idle float64
 	synctest.Test(t, func(t *testing.T) {
 		n, kv := &memory.Network{}, &memory.Store{}
 		var vms []*memory.VM
@@ -212,11 +229,12 @@
 		time.Sleep(10 * time.Minute)
 		idle = float64(kv.Calls()-before) / (10 * 60 * dataCentres)
 		file := &operatorFile{queueLimit: 1}
-		edit := func(v *memory.VM, count int) float64 {
+		edit := func(v *memory.VM, count int, after func()) float64 {
 			for range count {
 				file.queueLimit++
 				apply(t, v, file, fmt.Sprint(file.queueLimit))
 			}
+			after()
 			start := time.Now()
 			for _, o := range vms {
 				for o.Current().Version < v.Current().Version {
@@ -226,20 +244,27 @@
 			return time.Since(start).Seconds()
 		}
 		for i := range 100 {
-			single = max(single, edit(vms[i*7%len(vms)], 1))
+			single = max(single, edit(vms[i*7%len(vms)], 1, func() {}))
 			time.Sleep(time.Duration(i) * 137 * time.Millisecond)
 		}
-		bursts = edit(vms[4], burst)
+		bursts = edit(vms[4], burst, func() {})
 		time.Sleep(5 * time.Second)
 		vms[3].Kill()
 		vms = append(vms[:3], vms[4:]...)
-		killed = edit(vms[0], 1)
+		killed = edit(vms[0], 1, func() {})
+		time.Sleep(5 * time.Second)
+		kv.DownAfter = config.HeadKey
+		outage = edit(vms[2], 1, func() {
+			vms[0].Kill()
+			vms = vms[1:]
+		})
 	})
 	bound := report.F(inForceSeconds)
 	return []report.Measure{
 		{Name: "time in force, 100 edits, longest", Unit: "s", Value: single, AtMost: bound, Note: "simulated time, 8 data centres of 3 VMs"},
 		{Name: "time in force, burst of 20", Unit: "s", Value: bursts, AtMost: bound, Note: "simulated time"},
 		{Name: "time in force, a watching VM just killed", Unit: "s", Value: killed, AtMost: bound, Note: "simulated time"},
+		{Name: "time in force, the store down and the editor's planner killed", Unit: "s", Value: outage, AtMost: bound, Note: "simulated time; between data centres only planners exchange heartbeats"},
 		{Name: "store calls of an idle watching VM", Unit: "calls/s", Value: idle, AtMost: report.F(0.2), Note: "other VMs make none"},
 	}
 }
