--- /dev/null
+++ b/internal/bench/route/cost_test.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/bench/report"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/queue"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/fleet"
+	"github.com/dogwoodworks/dogwoodworks/internal/target/runner"
+)
+
+func TestMain(m *testing.M) { fleet.Main(m) }
+
+const configuration = `
+[[kinds]]
+name = "check"
+class = "urgent"
+idempotent = true
+service = "rota"
+expected = "5ms"
+[[accounts]]
+id = "guild"
+`
+
+// TestCost reports what a decision and a whole request cost.
+func TestCost(t *testing.T) {
+	all := []report.Measure{overhead(t)}
+	for _, n := range []int{50, 500} {
+		all = append(all, allocations(n))
+	}
+	for _, failed := range report.Print(all) {
+		t.Errorf("out of bound: %s", failed)
+	}
+}
+
+// allocations counts those of one pass through queue and choice with n runners.
+func allocations(n int) report.Measure {
+	var q queue.Queue
+	states := make([]route.Runner, n)
+	for i := range states {
+		states[i] = route.Runner{ID: fmt.Sprint(i), Service: "s", DataCentre: "dc", Limit: slots, InUse: i % slots}
+	}
+	now := time.UnixMilli(0)
+	pass := func() {
+		q.Push(queue.Item{ID: "q", Account: "a", Cost: time.Second, Arrived: now}, now)
+		route.Pick(states, route.Place{DataCentre: "dc"}, route.Need{Service: "s"})
+		it, _ := q.Pop(now)
+		q.Settle(it, time.Second)
+	}
+	return report.Measure{
+		Area: "route/decision", Name: fmt.Sprintf("allocations_%d_runners", n), Unit: "per request",
+		Value: testing.AllocsPerRun(1000, pass),
+	}
+}
+
+// overhead compares a request through a daemon with a direct call to the
+// runner, both over loopback and in turn.
+func overhead(t *testing.T) report.Measure {
+	spec := fleet.Spec{Config: configuration, ServiceTime: 2 * time.Millisecond, VMs: []fleet.VM{{ID: "a", DataCentre: "u1", Region: "u"}}}
+	for i := range runners {
+		spec.Runners = append(spec.Runners, vmlist.VM{ID: fmt.Sprintf("r%d", i), DataCentre: "u1", Region: "u", Service: "rota", Slots: slots, Connections: connections})
+	}
+	f := fleet.Start(t, spec)
+	client := f.Daemons["a"].CallerClient()
+	in := caller.RequestBody{Account: "guild", Kind: "check", Payload: bytes.Repeat([]byte{'x'}, 1000)}
+	var through, direct []time.Duration
+	for i := range 300 {
+		through = append(through, timed(t, func() error {
+			return client.Call(context.Background(), http.MethodPost, "/v1/requests", in, nil)
+		}))
+		direct = append(direct, timed(t, func() error { return call(f.RunnerRelays["r1"].Address(), i, in.Payload) }))
+	}
+	return report.Measure{
+		Area: "route/daemon", Name: "median_time_of_a_request", Unit: "us", Value: median(through), Baseline: report.F(median(direct)),
+		Note: fmt.Sprintf("%.3g x a direct call to a runner that takes 2 ms", median(through)/median(direct)),
+	}
+}
+
+func call(address string, i int, payload []byte) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+runner.RunPath, bytes.NewReader(payload))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(runner.HeaderRequestID, fmt.Sprintf("direct %d", i))
+	req.Header.Set(runner.HeaderAttempt, "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func timed(t *testing.T, do func() error) time.Duration {
+	began := time.Now()
+	if err := do(); err != nil {
+		t.Fatal(err)
+	}
+	return time.Since(began)
+}
+
+func median(all []time.Duration) float64 {
+	slices.Sort(all)
+	return float64(all[len(all)/2].Microseconds())
+}
--- a/internal/bench/route/sim_test.go
+++ b/internal/bench/route/sim_test.go
@@ -20,7 +20,7 @@
 	connections = 64
 	heartbeat   = 1000
 	warmUp      = 60_000
-	length      = 180_000
+	length      = 300_000
 	shift       = 60_000 // time between two changes of the balance of arrivals
 	ageing      = 60 * time.Second
 )
@@ -60,8 +60,6 @@
 	queue.Item
 	kind    int
 	service int
-	vm      int
-	runner  int
 	started int
 	pushed  int
 }
@@ -284,6 +282,9 @@
 		return
 	}
 	v.busy[i] = 0
+	if j.started == 0 {
+		s.result.oldestUnsent = max(s.result.oldestUnsent, s.now-j.pushed)
+	}
 	s.load[i]++
 	s.busy++
 	v.states[i].InUse++
@@ -373,7 +374,7 @@
 	s.last = now
 }
 
-// unsent finds the oldest request that was never sent.
+// unsent adds the requests that were never sent to the longest wait.
 func (s *simulation) unsent() {
 	for _, v := range s.vms {
 		for _, j := range v.jobs {
--- a/internal/control/dispatch/load_test.go
+++ b/internal/control/dispatch/load_test.go
@@ -232,3 +232,19 @@
 		is.True(r.Open("127.0.0.1") <= route.LocalConnections(64, 1))
 	}
 }
+
+// TestOnlyRunnerAcrossRegions checks that a VM without a runner of its own
+// crosses regions and counts the bytes of both ways.
+func TestOnlyRunnerAcrossRegions(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 0, 0)
+	b.vms[0].DataCentre, b.vms[0].Region = "skane-1", "skane"
+	b.SetRunners(b.vms)
+	r := request("check", 1, 5*time.Second)
+	a, err := b.Do(context.Background(), r)
+	is.NoErr(err)
+	is.Equal(b.Meter.Count("request_sent_across"), int64(1))
+	for b.Meter.Count("bytes_across_regions") < int64(len(r.Payload)+len(a.Payload)) {
+		time.Sleep(time.Millisecond)
+	}
+}
