--- a/internal/decide/health/health.go
+++ b/internal/decide/health/health.go
@@ -17,6 +17,9 @@
 	maxProbeDelay = 30 * time.Second
 	// probeTimeout is the time after which an unfinished probe is forgotten.
 	probeTimeout = 30 * time.Second
+	// unprobedLimit is the time after which a runner that was due for a probe
+	// and got none is taken back on trial, as nothing else could bring it back.
+	unprobedLimit = 60 * time.Second
 )
 
 // Failure is the failure of one connection to a runner.
@@ -44,8 +47,11 @@
 	group    string
 	failures map[uint64]time.Time
 	ejected  bool
-	delay    time.Duration
-	probeAt  time.Time
+	// trial says that the runner came back without a probe; its next failure
+	// ejects it again.
+	trial   bool
+	delay   time.Duration
+	probeAt time.Time
 }
 
 // Tracker keeps the evidence about all runners. The zero value knows none. It
@@ -109,10 +115,10 @@
 		r.probeAt = f.At.Add(r.delay)
 		return false
 	}
-	if len(r.failures) < evidenceNeeded || t.ejectedOf(r.group) >= t.groups[r.group]/ejectableShare {
+	if (len(r.failures) < evidenceNeeded && !r.trial) || t.ejectedOf(r.group) >= t.groups[r.group]/ejectableShare {
 		return false
 	}
-	r.ejected = true
+	r.ejected, r.trial = true, false
 	r.delay = minProbeDelay
 	r.probeAt = f.At.Add(r.delay)
 	return true
@@ -139,6 +145,9 @@
 	if !ok {
 		return State{}
 	}
+	if r.ejected && now.Sub(r.probeAt) >= unprobedLimit {
+		r.ejected, r.trial = false, true
+	}
 	if r.ejected {
 		return State{Ejected: true, Probe: !now.Before(r.probeAt)}
 	}
--- /dev/null
+++ b/internal/target/runner/runner_test.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+)
+
+// log keeps the events of a client.
+type log struct {
+	mu     sync.Mutex
+	events []Event
+}
+
+func (l *log) add(e Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, e)
+}
+
+func (l *log) kinds() []EventKind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []EventKind
+	for _, e := range l.events {
+		all = append(all, e.Kind)
+	}
+	return all
+}
+
+// serve starts a listener that treats every connection in the same way.
+func serve(t *testing.T, treat func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go treat(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestWhatWasWritten(t *testing.T) {
+	closed := func() string {
+		l, _ := net.Listen("tcp", "127.0.0.1:0")
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	reset := func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	refuseEarly := func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte("HTTP/1.1 503 Busy\r\nRequest-Id: q1\r\nAttempt: 1\r\nNot-Started: busy\r\nContent-Length: 0\r\n\r\n"))
+		time.Sleep(100 * time.Millisecond)
+		_ = c.Close()
+	}
+	cases := []struct {
+		name    string
+		address string
+		payload int
+		want    []EventKind
+	}{
+		{"closed port", closed(), 10, []EventKind{Unreachable, Ended}},
+		{"reset within a large request", serve(t, reset), 8 << 20, []EventKind{Lost, Ended}},
+		{"reset after a small request", serve(t, reset), 10, []EventKind{Lost, Ended}},
+		{"refused before the whole request was read", serve(t, refuseEarly), 100 << 10, []EventKind{NotStarted, Ended}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var l log
+			client := &Client{Address: c.address, Meter: &meter.Meter{}, Deliver: l.add}
+			client.Send(context.Background(), Request{ID: "q1", Attempt: 1, Kind: "check", Payload: bytes.Repeat([]byte{'x'}, c.payload)})
+			is.Equal(l.kinds(), c.want)
+			for client.Connections() > 0 { // closed by either end
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	var l log
+	silent := serve(t, func(net.Conn) {})
+	client := &Client{Address: silent, Meter: &meter.Meter{}, Deliver: l.add}
+	client.SetLimit(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { client.Send(ctx, Request{ID: "q1", Attempt: 1, Allowance: 100 * time.Millisecond}) })
+	for client.Connections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	client.Send(ctx, Request{ID: "q2", Attempt: 1, Fresh: true})
+	is.Equal(l.kinds(), []EventKind{Unreachable, Ended})
+	// A silent connection makes room for the next attempt.
+	for len(l.kinds()) < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	wg.Go(func() { client.Send(ctx, Request{ID: "q3", Attempt: 1}) })
+	for len(l.kinds()) < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(l.kinds()[2:5], []EventKind{Silent, Lost, Ended})
+	is.Equal(client.Connections(), 1)
+	cancel()
+	wg.Wait()
+}
