--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,12 +27,10 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
-	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/gossip"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1/peerv1connect"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/serve"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/record"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/store"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
@@ -51,6 +48,7 @@
 	gossip   *gossip.Table
 	dispatch *dispatch.Dispatcher
 	planner  *planner.Planner
+	homes    *homes
 	desk     *job.Desk
 
 	callers   *echo.Echo
@@ -62,6 +60,11 @@
 
 	mu      sync.Mutex
 	workers []vmlist.VM
+
+	// listed is the platform's latest list of VMs.
+	listed atomic.Pointer[[]vmlist.VM]
+	// lacking says why the VM is not ready; nil when nothing is known.
+	lacking atomic.Pointer[string]
 }
 
 // New joins the duties; token is the operators' shared secret.
@@ -75,11 +78,12 @@
 	client := &http.Client{Transport: transport(s.Listen.Peers)}
 	d.store = &store.Client{BaseURL: platform, Meter: d.meter, HTTP: client}
 	d.vms = &vmlist.Client{BaseURL: platform, HTTP: client}
-	d.keeper = &config.Keeper{KV: d.store, Meter: d.meter, Log: log}
 	d.gossip = &gossip.Table{
 		Self: d.self, Seeds: s.Peers.Seeds, Meter: d.meter, Log: log, HTTP: client,
 		Source: d.fillHeartbeat, Sink: d.takeHeartbeat,
 	}
+	d.joinConfiguration()
+	d.homes = d.newHomes()
 	d.joinWork()
 	d.joinListeners(token)
 	return d
@@ -98,33 +102,36 @@
 }
 
 func (d *Daemon) joinWork() {
-	records := &job.Records{Keeper: &record.Records{KV: d.store}}
-	d.dispatch = d.newDispatcher(&claim.Book{Self: d.self, KV: d.store, Meter: d.meter, NewToken: uuid.NewString})
+	records := &job.Records{Keeper: d.homes.records}
+	claims := d.homes.book
+	d.dispatch = d.newDispatcher(claims)
+	d.homes.router.Here = d.dispatch
 	d.planner = &planner.Planner{
-		DataCentre: d.settings.DataCentre, Config: d.keeper.Current, Chosen: d.chosen,
-		Records: records, Meter: d.meter, Log: d.log,
+		DataCentre: d.settings.DataCentre, VMID: d.settings.VMID, Config: d.keeper.Current, Chosen: d.chosen,
+		Records: records, Claims: claims, Meter: d.meter, Log: d.log,
 		HTTP: &http.Client{Transport: transport(d.settings.Listen.Peers)},
 	}
 	d.desk = &job.Desk{Self: d.self, Planner: d.planner, Peers: d.gossip, Records: records, Meter: d.meter}
 }
 
 func (d *Daemon) joinListeners(token string) {
-	limits := jsonhttp.Limits{
-		MaxBodyBytes:  d.settings.Limits.MaxBodyBytes,
-		MaxConcurrent: d.settings.Limits.MaxConcurrent,
-	}
+	limits := d.limits()
 	d.callers = jsonhttp.NewEcho(limits, d.meter)
 	c := caller.Server{
-		DataCentre: d.settings.DataCentre, Requests: d.dispatch, Jobs: d.desk,
+		DataCentre: d.settings.DataCentre, Requests: d.homes.router, Jobs: d.desk,
 		Config: d.keeper.Current, Ready: d.Ready, Loaded: d.loaded.Load, Meter: d.meter,
 	}
 	c.Register(d.callers)
-	d.operators = jsonhttp.NewEcho(jsonhttp.Limits{}, d.meter)
+	d.callers.GET("/readyz", d.readyz)
+	d.operators = jsonhttp.NewEcho(limits, d.meter)
 	o := operator.Server{Token: token, Config: d.keeper, View: d, Meter: d.meter}
 	o.Register(d.operators)
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{Gossip: d.gossip, Planner: d.planner, Desk: d.desk}))
-	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: jsonhttp.DefaultReadTimeout}
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{
+		Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper,
+		Member: d.homes.member, Roster: d.homes.roster, Forward: d.homes.router,
+	}))
+	d.peers = jsonhttp.NewServer(d.peerLimits(), d.meter, mux)
 }
 
 // Ready reports whether the VM takes new work.
@@ -142,7 +149,9 @@
 	hb.From = proto.CloneOf(d.self)
 	hb.From.Leaving = d.draining.Load()
 	hb.ConfigVersion = d.keeper.Current().Version
+	hb.From.ConfigVersion = hb.ConfigVersion
 	d.fillRequests(hb)
+	d.homes.fill(hb)
 }
 
 // Run serves until ctx ends, then stops as planned: it refuses new work and
@@ -161,6 +170,8 @@
 	go d.keeper.Run(duties)
 	go d.watchTargets(duties)
 	go d.planner.Run(duties)
+	go d.desk.Run(duties)
+	d.homes.run(duties)
 	d.log.Info("serving", "vm", d.settings.VMID, "data_centre", d.settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -187,20 +198,21 @@
 }
 
 const (
-	loadRetryDelay  = 500 * time.Millisecond
-	refreshInterval = time.Second
+	loadRetryDelay = 500 * time.Millisecond
+	// refreshTimeout bounds the first read of the platform's list.
+	refreshTimeout = time.Second
 )
 
 // load reads the first configuration; the VM is not ready before.
 func (d *Daemon) load(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := d.keeper.Load(ctx)
+		err := d.keeper.Begin(ctx)
 		if err == nil {
 			d.loaded.Store(true)
 			d.log.Info("ready")
 			return
 		}
-		d.meter.Inc("config_load_retry")
+		d.notReady(err)
 		wait(ctx, loadRetryDelay)
 	}
 }
@@ -212,22 +224,20 @@
 	}
 }
 
-func (d *Daemon) watchTargets(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, refreshInterval)
-		d.refreshTargets(ctx)
-	}
-}
-
 func (d *Daemon) refreshTargets(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, refreshInterval)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	a, err := d.vms.List(ctx)
 	if err != nil {
 		d.meter.Inc("vmlist_error")
 		return
 	}
-	var runners, workers []vmlist.VM
+	d.takeList(a)
+}
+
+// takeList takes the platform's list.
+func (d *Daemon) takeList(a vmlist.ListAnswer) {
+	var runners, workers, allWorkers []vmlist.VM
 	var peers []string
 	var entries []vmlist.VM
 	for _, vm := range a.VMs {
@@ -235,6 +245,7 @@
 		case vmlist.Runner:
 			runners = append(runners, vm)
 		case vmlist.Worker:
+			allWorkers = append(allWorkers, vm)
 			if vm.DataCentre == d.settings.DataCentre {
 				workers = append(workers, vm)
 			}
@@ -244,9 +255,12 @@
 		}
 	}
 	d.gossip.Addresses(peers)
+	d.setTargets(a.VMs)
+	d.homes.takeList(a)
 	d.dispatch.SetEntryVMs(entries)
 	d.dispatch.SetRunners(runners)
 	d.planner.SetWorkers(workers)
+	d.desk.SetWorkers(allWorkers)
 	d.mu.Lock()
 	d.workers = workers
 	d.mu.Unlock()
@@ -258,6 +272,7 @@
 		Log: d.log, Timeout: d.settings.Limits.DrainTimeout.Duration,
 		Leave:     func() { d.draining.Store(true) },
 		Requests:  d.dispatch,
+		HandOver:  d.homes.leave,
 		Listeners: []drain.Listener{d.callers.Server, d.operators.Server, d.peers},
 	}
 	return p.Run()
@@ -275,7 +290,7 @@
 	}
 	add(d.self, d.keeper.Current().Version)
 	for _, p := range d.gossip.Live() {
-		add(p.VM, p.State.GetConfigVersion())
+		add(p.VM, p.VM.GetConfigVersion())
 	}
 	return f
 }
@@ -289,6 +304,3 @@
 
 // Accounts returns the accounts as the planner at this VM sees them.
 func (d *Daemon) Accounts() []gang.AccountStatus { return d.planner.Accounts() }
-
-// Token reads a token from the content of its file.
-func Token(b []byte) string { return strings.TrimSpace(string(b)) }
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -15,36 +17,15 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
-	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
 
-// VMStatus is what one VM says of itself or of a peer.
-type VMStatus struct {
-	VMID          string `json:"vm_id"`
-	DataCentre    string `json:"data_centre"`
-	Region        string `json:"region"`
-	Leaving       bool   `json:"leaving"`
-	Planner       bool   `json:"planner"`
-	ConfigVersion uint64 `json:"config_version"`
-}
-
-// Fleet is the status of the fleet as one VM sees it.
-type Fleet struct {
-	VMs      []VMStatus    `json:"vms"`
-	Measures gang.Measures `json:"measures"`
-}
-
-// Targets is the answer to a list of targets.
-type Targets struct {
-	Runners []route.Runner `json:"runners"`
-	Workers []vmlist.VM    `json:"workers"`
-}
-
 // Configuration edits the configuration.
 type Configuration interface {
 	Current() config.Head
+	Check(e config.Edit, now time.Time) (config.Document, error)
 	Apply(ctx context.Context, e config.Edit, now time.Time) (config.Head, error)
+	Effective(q config.Scope, now time.Time) config.Effective
+	History(ctx context.Context, limit int) ([]config.Change, error)
 }
 
 // View reads what the fleet is doing.
@@ -52,6 +33,8 @@
 	Fleet() Fleet
 	Targets() Targets
 	Accounts() []gang.AccountStatus
+	Spread(version uint64) Spread
+	Status() Status
 }
 
 // Server serves operators. Its fields are set before use.
@@ -69,9 +52,14 @@
 	e.GET("/metrics", s.metrics)
 	e.GET("/v1/config", s.viewConfig)
 	e.POST("/v1/config", s.applyConfig)
-	e.GET("/v1/fleet", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Fleet()) })
-	e.GET("/v1/targets", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Targets()) })
-	e.GET("/v1/accounts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Accounts()) })
+	e.POST("/v1/config/check", s.checkConfig)
+	e.GET("/v1/config/effective", s.effective)
+	e.GET("/v1/config/log", s.log)
+	e.GET("/v1/config/spread", s.spread)
+	e.GET("/v1/daemon", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Status()) })
+	e.GET("/v1/fleet", func(c echo.Context) error { return c.JSON(http.StatusOK, newFleetAnswer(s.View.Fleet())) })
+	e.GET("/v1/targets", func(c echo.Context) error { return c.JSON(http.StatusOK, newTargetsAnswer(s.View.Targets())) })
+	e.GET("/v1/accounts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.accounts()) })
 }
 
 func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
@@ -93,16 +81,75 @@
 	return c.JSON(http.StatusOK, s.Config.Current())
 }
 
+func (s *Server) checkConfig(c echo.Context) error {
+	var in CheckBody
+	if err := jsonhttp.Decode(c, &in); err != nil {
+		return err
+	}
+	if _, err := s.Config.Check(config.Edit{File: in.File, TOML: in.TOML}, time.Now()); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) effective(c echo.Context) error {
+	q := config.Scope{
+		DataCentre: c.QueryParam("data_centre"), Account: c.QueryParam("account"),
+		Target: c.QueryParam("target"), Kind: c.QueryParam("kind"),
+	}
+	for _, f := range []struct{ field, v string }{
+		{"data_centre", q.DataCentre}, {"account", q.Account}, {"target", q.Target}, {"kind", q.Kind},
+	} {
+		if !utf8.ValidString(f.v) {
+			return fault.WithField(fault.BadRequest, f.field, "is not UTF-8")
+		}
+	}
+	return c.JSON(http.StatusOK, s.Config.Effective(q, time.Now()))
+}
+
+func (s *Server) log(c echo.Context) error {
+	limit, err := number(c, "limit", DefaultLogLimit)
+	if err != nil {
+		return err
+	}
+	changes, err := s.Config.History(c.Request().Context(), int(min(limit, config.MaxHistory)))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, Log{Changes: changes})
+}
+
+// DefaultLogLimit is the number of changes that a read of the log returns.
+const DefaultLogLimit = 50
+
+func (s *Server) spread(c echo.Context) error {
+	version, err := number(c, "version", s.Config.Current().Version)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, s.View.Spread(version))
+}
+
+// number reads a query parameter; otherwise is its value when it is missing.
+func number(c echo.Context, name string, otherwise uint64) (uint64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fault.WithField(fault.BadRequest, name, "%q is not a whole number", text)
+	}
+	return n, nil
+}
+
 func (s *Server) applyConfig(c echo.Context) error {
 	var e config.Edit
 	if err := jsonhttp.Decode(c, &e); err != nil {
 		return err
 	}
-	required := []struct{ field, v string }{{"edit_id", e.EditID}, {"author", e.Author}, {"reason", e.Reason}}
-	for _, r := range required {
-		if strings.TrimSpace(r.v) == "" {
-			return fault.WithField(fault.BadRequest, r.field, "is missing")
-		}
+	if err := checkEdit(e); err != nil {
+		return err
 	}
 	h, err := s.Config.Apply(c.Request().Context(), e, time.Now())
 	if err != nil {
@@ -110,3 +157,19 @@
 	}
 	return c.JSON(http.StatusOK, h)
 }
+
+// maxFieldBytes bounds the texts that go with an edit.
+const maxFieldBytes = 1024
+
+func checkEdit(e config.Edit) error {
+	fields := []struct{ field, v string }{{"edit_id", e.EditID}, {"author", e.Author}, {"reason", e.Reason}}
+	for _, f := range fields {
+		if strings.TrimSpace(f.v) == "" {
+			return fault.WithField(fault.BadRequest, f.field, "is missing")
+		}
+		if len(f.v) > maxFieldBytes {
+			return fault.WithField(fault.BadRequest, f.field, "is over %d bytes", maxFieldBytes)
+		}
+	}
+	return nil
+}
