--- a/internal/control/dispatch/call.go
+++ b/internal/control/dispatch/call.go
@@ -11,8 +11,10 @@
 
 // call is one request on its way. It has exactly one outcome.
 type call struct {
-	r       Request
-	kind    config.Kind
+	r    Request
+	kind config.Kind
+	// values are those in force for the call's account and kind.
+	values  config.Effective
 	arrived time.Time
 	// until is the time up to which an answer is awaited.
 	until time.Time
--- a/internal/control/dispatch/demand.go
+++ b/internal/control/dispatch/demand.go
@@ -55,6 +55,7 @@
 	for _, service := range s.services() {
 		s.divide(service, now)
 	}
+	s.cordon()
 	s.setLimits()
 	s.view()
 }
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -218,10 +218,11 @@
 		r.Home = account.Home
 	}
 	now := time.Now()
+	values := head.Document.Effective(config.Scope{DataCentre: d.DataCentre, Account: r.Account, Kind: r.Kind}, now)
 	if r.Deadline.IsZero() {
-		r.Deadline = now.Add(head.Document.Defaults.RequestTimeout.Duration)
+		r.Deadline = now.Add(values.RequestTimeout.Duration)
 	}
-	c := &call{r: r, kind: kind, arrived: now, done: make(chan struct{}), until: r.Deadline.Add(endGrace)}
+	c := &call{r: r, kind: kind, values: values, arrived: now, done: make(chan struct{}), until: r.Deadline.Add(endGrace)}
 	if !kind.Idempotent {
 		c.until = r.Deadline.Add(recordGrace)
 	}
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -64,7 +64,6 @@
 type bed struct {
 	*Dispatcher
 	t       *testing.T
-	doc     config.Document
 	book    *book
 	runners []*runner.Runner
 	relays  []*relay.Relay
@@ -98,19 +97,16 @@
 id = "guild"
 `
 
-func newBed(t *testing.T, runners int, serviceTime time.Duration, queueLimit int) *bed {
+func newBed(t *testing.T, runners int, serviceTime time.Duration, extra string) *bed {
 	t.Helper()
-	doc, err := config.Parse("test", []byte(configuration))
+	doc, err := config.Parse("test", []byte(configuration+extra))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if queueLimit > 0 {
-		doc.Defaults.QueueLimit = queueLimit
-	}
-	b := &bed{t: t, doc: doc, book: &book{}}
+	b := &bed{t: t, book: &book{}}
 	b.Dispatcher = &Dispatcher{
 		VM: "a", DataCentre: "uppland-1", Region: "uppland", Claims: b.book, Meter: &meter.Meter{},
-		Config: func() config.Head { return config.Head{Document: b.doc} },
+		Config: func() config.Head { return config.Head{Document: doc} },
 		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	for i := range runners {
@@ -165,10 +161,14 @@
 
 // request returns the n-th request of a test; its payload names it.
 func request(kind string, n int, timeout time.Duration) Request {
-	return Request{
+	r := Request{
 		ID: fmt.Sprintf("q%d", requests.Add(1)), Account: "guild", Kind: kind, Key: fmt.Sprintf("k%d", n),
-		Payload: fmt.Appendf(nil, "payload %d", n), Deadline: time.Now().Add(timeout),
+		Payload: fmt.Appendf(nil, "payload %d", n),
+	}
+	if timeout > 0 {
+		r.Deadline = time.Now().Add(timeout)
 	}
+	return r
 }
 
 // outcome is "answered" or the kind of an error, and "wrong" for an answer to
@@ -221,8 +221,9 @@
 	// Faults hold at the first runner.
 	Faults faults.Orders `json:"faults"`
 	// Closed closes the runners' addresses.
-	Closed     bool `json:"closed"`
-	QueueLimit int  `json:"queue_limit"`
+	Closed bool `json:"closed"`
+	// Config is added to the configuration.
+	Config string `json:"config"`
 	// ClaimKind is the kind of the claimer's error.
 	ClaimKind fault.Kind `json:"claim_kind"`
 	Requests  int        `json:"requests"`
@@ -266,7 +267,7 @@
 
 func (c scenario) run(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, c.Runners, time.Duration(c.ServiceMS)*time.Millisecond, c.QueueLimit)
+	b := newBed(t, c.Runners, time.Duration(c.ServiceMS)*time.Millisecond, c.Config)
 	if c.ClaimKind != "" {
 		b.book.err = fault.New(c.ClaimKind, "test")
 	}
--- a/internal/control/dispatch/load_test.go
+++ b/internal/control/dispatch/load_test.go
@@ -65,7 +65,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			b := newBed(t, 9, 5*time.Millisecond, 0)
+			b := newBed(t, 9, 5*time.Millisecond, "")
 			for _, r := range b.runners[:c.failing] {
 				r.Faults.Replace(c.faults)
 			}
@@ -109,7 +109,7 @@
 		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
 			is := is.New(t)
 			const slots, serviceTime = 16, 200 * time.Millisecond
-			b := newBed(t, 2, serviceTime, 10*slots)
+			b := newBed(t, 2, serviceTime, fmt.Sprintf("[defaults]\nqueue_limit = %d", 10*slots))
 			ctx, cancel := context.WithCancel(context.Background())
 			var wg, leaving sync.WaitGroup
 			var mu sync.Mutex
@@ -155,7 +155,7 @@
 
 func TestUrgentGoesBeforeABurst(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 100*time.Millisecond, 0)
+	b := newBed(t, 1, 100*time.Millisecond, "")
 	var wg sync.WaitGroup
 	for i := range 80 {
 		wg.Go(func() { _, _ = b.Do(context.Background(), request("render", i, time.Minute)) })
@@ -170,7 +170,7 @@
 
 func TestFullIntakeRefuses(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	hold := make(chan struct{})
 	b.post(func(*scheduler) { <-hold })
 	var wg sync.WaitGroup
@@ -195,7 +195,7 @@
 
 func TestTicketIsSpentTruly(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	_, err := b.Do(context.Background(), request("stamp", 1, time.Second))
 	is.NoErr(err)
 	finished, abandoned := b.book.spent()
@@ -215,7 +215,7 @@
 
 func TestNotRunAbandonsTheTicket(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	b.runners[0].Faults.Replace(faults.Orders{Leaving: true})
 	_, err := b.Do(context.Background(), request("stamp", 1, 200*time.Millisecond))
 	is.True(fault.Is(err, fault.Deadline))
@@ -225,7 +225,7 @@
 
 func TestConnectionsAndSlotsAreDivided(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 2, 20*time.Millisecond, 0)
+	b := newBed(t, 2, 20*time.Millisecond, "")
 	b.runners[0].Faults.Replace(faults.Orders{SilentRequest: 1000})
 	is.Equal(b.doAll("check", 100, 4*time.Second)["wrong"], 0)
 	for _, r := range b.relays {
@@ -237,7 +237,7 @@
 // crosses regions and counts the bytes of both ways.
 func TestOnlyRunnerAcrossRegions(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	b.vms[0].DataCentre, b.vms[0].Region = "skane-1", "skane"
 	b.SetRunners(b.vms)
 	r := request("check", 1, 5*time.Second)
--- a/internal/control/dispatch/schedule.go
+++ b/internal/control/dispatch/schedule.go
@@ -149,6 +149,7 @@
 	c.item = queue.Item{
 		ID: c.r.ID, Account: c.r.Account, Kind: c.r.Kind, Rank: c.kind.Class.Rank(), Arrived: c.arrived,
 		Deadline: c.r.Deadline, Cost: s.estimates.Cost(c.r.Kind, c.kind.Expected.Duration),
+		AgeingLimit: c.values.AgeingLimit.Duration,
 	}
 	c.queued = true
 	c.tried = make(map[string]bool)
--- a/internal/control/dispatch/targets.go
+++ b/internal/control/dispatch/targets.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/control/config"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/queue"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
 	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
@@ -144,6 +145,7 @@
 	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].vm.ID < s.targets[j].vm.ID })
 	s.health.Set(groups)
 	s.refreshLeaving()
+	s.cordon()
 	s.divideNew()
 	s.setLimits()
 	s.view()
@@ -174,19 +176,33 @@
 			t.client.SetLimit(route.ForeignConnections)
 			t.state.Limit = s.foreignLimit(t, foreign)
 		}
-		if !t.state.Leaving && !t.state.Ejected {
+		if !t.state.Leaving && !t.state.Ejected && !t.state.Cordoned {
 			slots[t.vm.Service] += float64(t.state.Limit)
 		}
 	}
-	defaults := s.d.Config().Document.Defaults
+	doc := s.d.Config().Document
+	values := doc.Effective(config.Scope{DataCentre: s.d.DataCentre}, time.Now())
 	for service, q := range s.queues {
 		q.Slots = slots[service]
-		q.Limit = defaults.QueueLimit
-		q.AgeingLimit = defaults.AgeingLimit.Duration
+		q.Limit = values.QueueLimit
+		q.AgeingLimit = values.AgeingLimit.Duration
 		q.Weights = s.division(service).Weights()
 	}
 }
 
+// cordon stops new work at the runners that an exception names, and notes each
+// change.
+func (s *scheduler) cordon() {
+	doc := s.d.Config().Document
+	for _, t := range s.targets {
+		values := doc.Effective(config.Scope{DataCentre: t.vm.DataCentre, Target: t.vm.ID}, time.Now())
+		if values.Cordon != t.state.Cordoned {
+			t.state.Cordoned = values.Cordon
+			s.d.Log.Info("runner cordon", "runner", t.vm.ID, "cordoned", values.Cordon)
+		}
+	}
+}
+
 // foreignLimit returns the requests that this VM may have at a runner of
 // another data centre: none while that data centre has requests waiting.
 func (s *scheduler) foreignLimit(t *target, foreign []string) int {
@@ -261,7 +277,7 @@
 func (s *scheduler) localWait(q *queue.Queue, states []route.Runner) time.Duration {
 	slots := 0
 	for _, r := range states {
-		if r.DataCentre == s.d.DataCentre && !r.Leaving && !r.Ejected {
+		if r.DataCentre == s.d.DataCentre && !r.Leaving && !r.Ejected && !r.Cordoned {
 			slots += r.Limit
 		}
 	}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -40,6 +40,8 @@
 	Deadline time.Time
 	// Cost is the expected service time. It is positive.
 	Cost time.Duration
+	// AgeingLimit goes before that of the queue when it is not 0.
+	AgeingLimit time.Duration
 }
 
 // shareLead is the slot time for each guaranteed slot by which an account may
@@ -122,7 +124,7 @@
 	a := q.account(it.Account)
 	a.load[it.Rank].add(it.Cost, now)
 	q.insert(it, false)
-	if q.AgeingLimit > 0 && q.Wait(it.Account, it.Rank, now) > time.Duration(admitShare*float64(q.AgeingLimit)) {
+	if limit := q.ageing(it); limit > 0 && q.Wait(it.Account, it.Rank, now) > time.Duration(admitShare*float64(limit)) {
 		q.Remove(it.ID)
 		return []Item{it}
 	}
@@ -286,14 +288,17 @@
 	return Item{}, false
 }
 
+func (q *Queue) ageing(it Item) time.Duration {
+	if it.AgeingLimit > 0 {
+		return it.AgeingLimit
+	}
+	return q.AgeingLimit
+}
+
 // aged returns the oldest item that has waited most of the ageing limit.
 func (q *Queue) aged(now time.Time) (Item, bool) {
-	if q.AgeingLimit <= 0 {
-		return Item{}, false
-	}
 	var oldest Item
 	found := false
-	since := now.Add(-time.Duration(agedShare * float64(q.AgeingLimit)))
 	for _, a := range q.accounts {
 		for r := range a.lists {
 			e := a.lists[r].Front()
@@ -301,7 +306,8 @@
 				continue
 			}
 			it := e.Value.(Item)
-			if it.Arrived.After(since) {
+			limit := q.ageing(it)
+			if limit <= 0 || now.Sub(it.Arrived) < time.Duration(agedShare*float64(limit)) {
 				continue
 			}
 			if !found || it.Arrived.Before(oldest.Arrived) || it.Arrived.Equal(oldest.Arrived) && it.ID < oldest.ID {
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -17,6 +17,9 @@
 	// Leaving and Ejected runners get no new work.
 	Leaving bool
 	Ejected bool
+	// Cordoned runners get no new work while an exception of the
+	// configuration says so.
+	Cordoned bool
 	// Probe is set on an ejected runner that may get one request as a probe.
 	Probe bool
 	// Suspect runners get work only when no other has room.
@@ -93,7 +96,7 @@
 	best := -1
 	var least [3]int
 	for i, r := range runners {
-		if r.Service != n.Service || r.Leaving {
+		if r.Service != n.Service || r.Leaving || r.Cordoned {
 			continue
 		}
 		d := own.DistanceTo(r)
