--- a/internal/control/dispatch/load_test.go
+++ b/internal/control/dispatch/load_test.go
@@ -37,14 +37,19 @@
 	return all
 }
 
+// ejected asks the scheduler itself, which knows before Runners does.
 func ejected(b *bed) int {
-	n := 0
-	for _, r := range b.Runners() {
-		if r.Ejected {
-			n++
+	count := make(chan int)
+	b.post(func(s *scheduler) {
+		n := 0
+		for _, t := range s.targets {
+			if s.health.State(t.vm.ID, time.Now()).Ejected {
+				n++
+			}
 		}
-	}
-	return n
+		count <- n
+	})
+	return <-count
 }
 
 func TestFailingRunners(t *testing.T) {
@@ -65,7 +70,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			b := newBed(t, 9, 5*time.Millisecond, 0)
+			b := newBed(t, 9, 5*time.Millisecond, "")
 			for _, r := range b.runners[:c.failing] {
 				r.Faults.Replace(c.faults)
 			}
@@ -109,7 +114,7 @@
 		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
 			is := is.New(t)
 			const slots, serviceTime = 16, 200 * time.Millisecond
-			b := newBed(t, 2, serviceTime, 10*slots)
+			b := newBed(t, 2, serviceTime, fmt.Sprintf("[defaults]\nqueue_limit = %d", 10*slots))
 			ctx, cancel := context.WithCancel(context.Background())
 			var wg, leaving sync.WaitGroup
 			var mu sync.Mutex
@@ -155,7 +160,7 @@
 
 func TestUrgentGoesBeforeABurst(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 100*time.Millisecond, 0)
+	b := newBed(t, 1, 100*time.Millisecond, "")
 	var wg sync.WaitGroup
 	for i := range 80 {
 		wg.Go(func() { _, _ = b.Do(context.Background(), request("render", i, time.Minute)) })
@@ -170,7 +175,7 @@
 
 func TestFullIntakeRefuses(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	hold := make(chan struct{})
 	b.post(func(*scheduler) { <-hold })
 	var wg sync.WaitGroup
@@ -195,7 +200,7 @@
 
 func TestTicketIsSpentTruly(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	_, err := b.Do(context.Background(), request("stamp", 1, time.Second))
 	is.NoErr(err)
 	finished, abandoned := b.book.spent()
@@ -215,7 +220,7 @@
 
 func TestNotRunAbandonsTheTicket(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 1, 0, 0)
+	b := newBed(t, 1, 0, "")
 	b.runners[0].Faults.Replace(faults.Orders{Leaving: true})
 	_, err := b.Do(context.Background(), request("stamp", 1, 200*time.Millisecond))
 	is.True(fault.Is(err, fault.Deadline))
@@ -225,10 +230,26 @@
 
 func TestConnectionsAndSlotsAreDivided(t *testing.T) {
 	is := is.New(t)
-	b := newBed(t, 2, 20*time.Millisecond, 0)
+	b := newBed(t, 2, 20*time.Millisecond, "")
 	b.runners[0].Faults.Replace(faults.Orders{SilentRequest: 1000})
 	is.Equal(b.doAll("check", 100, 4*time.Second)["wrong"], 0)
 	for _, r := range b.relays {
 		is.True(r.Open("127.0.0.1") <= route.LocalConnections(64, 1))
 	}
 }
+
+// TestOnlyRunnerAcrossRegions checks that a VM without a runner of its own
+// crosses regions and counts the bytes of both ways.
+func TestOnlyRunnerAcrossRegions(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, 0, "")
+	b.vms[0].DataCentre, b.vms[0].Region = "skane-1", "skane"
+	b.SetRunners(b.vms)
+	r := request("check", 1, 5*time.Second)
+	a, err := b.Do(context.Background(), r)
+	is.NoErr(err)
+	is.Equal(b.Meter.Count("request_sent_across"), int64(1))
+	for b.Meter.Count("bytes_across_regions") < int64(len(r.Payload)+len(a.Payload)) {
+		time.Sleep(time.Millisecond)
+	}
+}
