--- /dev/null
+++ b/internal/control/planner/jobs.go
@@ -0,0 +1,151 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
+)
+
+// unknownJob returns the error for a job that is not known. It may exist while
+// the kept records have not been read.
+func unknownJob(id string, loaded bool) error {
+	if loaded {
+		return fault.WithField(fault.NotFound, "job_id", "%q is not known", id)
+	}
+	return fault.New(fault.NotReady, "job %q is not known until the records can be read", id)
+}
+
+// submit takes a job that is kept.
+func (t *term) submit(r job.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.jobs[r.ID]; ok {
+		return
+	}
+	e := &entry{rec: r}
+	t.jobs[r.ID] = e
+	t.p.Meter.Inc("job_submitted")
+	t.note(e, "waits for its turn")
+	t.place(e)
+}
+
+// place queues a waiting job. A job that fits only when more workers are back
+// stays unplaced and is tried again with every plan. t.mu is held.
+func (t *term) place(e *entry) {
+	if e.placed {
+		return
+	}
+	if err := t.state.Submit(e.rec.Gang()); err != nil {
+		t.note(e, "waits for capacity: "+err.Error())
+		return
+	}
+	e.placed = true
+	notify(t.wake)
+}
+
+func (t *term) records(id string) []job.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if id != "" {
+		e, ok := t.jobs[id]
+		if !ok {
+			return nil
+		}
+		return []job.Record{e.rec}
+	}
+	all := make([]job.Record, 0, len(t.jobs))
+	for _, e := range t.jobs {
+		all = append(all, e.rec)
+	}
+	return all
+}
+
+func (t *term) explain(id string) (gang.Explanation, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x, ok := t.state.Explain(id); ok {
+		return x, true
+	}
+	e, ok := t.jobs[id]
+	if !ok {
+		return gang.Explanation{}, false
+	}
+	return gang.Explanation{JobID: id, State: string(e.rec.State), Reason: e.rec.Reason}, true
+}
+
+func (t *term) decisions(id string) []job.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.jobs[id]
+	if !ok {
+		return nil
+	}
+	return append([]job.Decision(nil), e.history...)
+}
+
+// cancelJob cancels a job at any stage.
+func (t *term) cancelJob(ctx context.Context, id string) error {
+	t.mu.Lock()
+	e, ok := t.jobs[id]
+	if !ok {
+		loaded := t.loaded
+		t.mu.Unlock()
+		return unknownJob(id, loaded)
+	}
+	if e.phase == ended {
+		t.mu.Unlock()
+		return nil
+	}
+	if !e.rec.CancelRequested {
+		t.p.Meter.Inc("job_cancel_requested")
+		e.rec.CancelRequested = true
+		t.note(e, "cancelled by the caller")
+		t.changed(e)
+	}
+	rec := e.rec
+	stop := t.cancelNow(e)
+	t.mu.Unlock()
+	if stop {
+		t.order(operation{kind: stopGang, entry: e, outcome: job.Cancelled, reason: "cancelled by the caller"})
+	}
+	if err := t.p.Records.Save(ctx, rec); err != nil {
+		return fault.Wrap(fault.ClaimUnresolved, err, "job %s is being cancelled, but that is not kept yet", id)
+	}
+	return nil
+}
+
+// cancelNow begins the cancellation and reports whether a stop must be ordered.
+// t.mu is held.
+func (t *term) cancelNow(e *entry) (stop bool) {
+	switch e.phase {
+	case waiting:
+		t.finish(e, job.Cancelled, "cancelled by the caller")
+	case running:
+		e.phase = stopping
+		t.release(e)
+		return true
+	case starting, stopping:
+		if e.abort != nil {
+			e.abort()
+		}
+	case ended:
+	}
+	return false
+}
+
+// finish ends a job. t.mu is held.
+func (t *term) finish(e *entry, s job.State, reason string) {
+	t.state.Ended(e.rec.ID, time.Now())
+	t.drop(e)
+	t.spend(e)
+	e.phase = ended
+	e.rec.State = s
+	e.rec.EndedUnixMS = time.Now().UnixMilli()
+	t.note(e, reason)
+	t.changed(e)
+	t.p.Meter.Inc("job_" + string(s))
+	notify(t.wake)
+}
--- a/internal/control/planner/start.go
+++ b/internal/control/planner/start.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
-	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
 	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
 )
 
@@ -68,35 +65,6 @@
 	t.conclude(op)
 }
 
-// outcomeOf returns the final state in which a failed start leaves a job, or
-// none when it is queued again. t.mu is held.
-func (t *term) outcomeOf(e *entry, cause error) job.State {
-	var other *endedElsewhereError
-	switch {
-	case errors.As(cause, &other):
-		return other.state
-	case e.rec.Idempotent:
-		return ""
-	case e.begun && worker.TookNoEffect(cause):
-		return job.Failed
-	case e.begun:
-		return job.Unknown
-	case e.claimRefused.IsZero() || time.Since(e.claimRefused) < claimPatienceLeases*t.p.lease():
-		return ""
-	}
-	return job.Unknown
-}
-
-// claimPatienceLeases is the time, in leases, in which the owner of a job's
-// claim may show what became of the job.
-const claimPatienceLeases = 2
-
-// endedElsewhereError says that a job's claim records its end.
-type endedElsewhereError struct{ state job.State }
-
-// Error names the state.
-func (e *endedElsewhereError) Error() string { return "the job is recorded as " + string(e.state) }
-
 const (
 	firstRetryDelay = 50 * time.Millisecond
 	maxRetryDelay   = time.Second
@@ -170,54 +138,6 @@
 	return nil
 }
 
-// claimKey is the key under which a job's attempts are claimed.
-func claimKey(id string) string { return "job/" + id }
-
-// claim makes sure that no other planner starts a job that must not start
-// twice. A claim that was not used by an earlier attempt is used again.
-func (t *term) claim(ctx context.Context, e *entry, a *attempt) error {
-	t.mu.Lock()
-	held := a.rec.Idempotent || e.ticket != nil
-	t.mu.Unlock()
-	if held {
-		return nil
-	}
-	if t.p.Claims == nil {
-		return fault.New(fault.NotReady, "no claims are served")
-	}
-	digest := sha256.Sum256([]byte(claimKey(a.rec.ID)))
-	ticket, recorded, err := t.p.Claims.Claim(ctx, claim.Request{
-		Account: a.rec.Account, Key: claimKey(a.rec.ID), Home: a.rec.DataCentre, Digest: digest[:],
-	})
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if err != nil {
-		return t.claimFailed(e, err)
-	}
-	if recorded != nil {
-		state := job.State(recorded.Result)
-		if !state.Final() {
-			state = job.Unknown
-		}
-		return &endedElsewhereError{state: state}
-	}
-	e.ticket, e.claimRefused = ticket, time.Time{}
-	return nil
-}
-
-// claimFailed counts a failed claim. When another planner may have started the
-// job, the kept records are read soon. t.mu is held.
-func (t *term) claimFailed(e *entry, err error) error {
-	t.p.Meter.Inc("gang_claim_" + string(fault.KindOf(err)))
-	if fault.Lookup(fault.KindOf(err)).Outcome == fault.Unknown {
-		if e.claimRefused.IsZero() {
-			e.claimRefused = time.Now()
-		}
-		notify(t.reload)
-	}
-	return err
-}
-
 // keepAttempt keeps the attempt before its first start. The workers hold the
 // record of an idempotent job as well, so that such a job starts also while
 // the record cannot be kept.
@@ -274,68 +194,6 @@
 // startRetryDelay is the time until an unanswered start is sent again.
 const startRetryDelay = 20 * time.Millisecond
 
-// unanswered returns the parts whose workers did not answer. It adds those whose
-// start may have taken effect to unsure.
-func unanswered(parts map[string]partSlots, errs map[string]error, unsure map[string]bool) map[string]partSlots {
-	left := make(map[string]partSlots)
-	for id, err := range errs {
-		if !worker.TookNoEffect(err) {
-			unsure[id] = true
-			left[id] = parts[id]
-		}
-		if fault.Is(err, fault.Unreachable) {
-			left[id] = parts[id]
-		}
-	}
-	return left
-}
-
-// judgeStarts returns one error for the starts that failed and attributes the
-// failures to workers. unsure names the workers at which a start may have taken
-// effect; the error is then of kind AnswerLost.
-func (t *term) judgeStarts(e *entry, a *attempt, errs map[string]error, unsure map[string]bool) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	started := len(a.parts) - len(errs)
-	e.begun = started > 0 || len(unsure) > 0
-	var first error
-	for id := range a.parts {
-		m, known := t.members[id]
-		err, bad := errs[id]
-		switch {
-		case bad && known:
-			t.blame(e, m)
-		case known:
-			m.sound = true
-		}
-		if bad && first == nil {
-			first = fault.Wrap(fault.KindOf(err), err, "start at worker %s", id)
-		}
-	}
-	if first == nil {
-		return nil
-	}
-	e.failedStarts++
-	if len(unsure) > 0 {
-		return fault.Wrap(fault.AnswerLost, first, "start")
-	}
-	return first
-}
-
-// blame attributes a failure to a worker and, when the last start of another
-// job worked there, to the job. t.mu is held.
-func (t *term) blame(e *entry, m *member) {
-	t.p.Meter.Inc("gang_failure_attributed")
-	t.state.StartFailed(e.rec.ID, m.vm.ID, time.Now())
-	if m.sound {
-		if e.failedOn == nil {
-			e.failedOn = make(map[string]bool)
-		}
-		e.failedOn[m.vm.ID] = true
-	}
-	m.sound = false
-}
-
 // confirm makes a gang whose starts were all answered run. It returns false
 // when the job was cancelled meanwhile.
 func (t *term) confirm(e *entry) bool {
--- a/internal/control/planner/stop.go
+++ b/internal/control/planner/stop.go
@@ -7,7 +7,6 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
-	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
 	"github.com/dogwoodworks/dogwoodworks/internal/target/worker"
 )
 
@@ -127,12 +126,3 @@
 	t.p.Meter.Inc("job_requeued")
 	notify(t.wake)
 }
-
-// settleClaim spends the claim of a job that has ended.
-func (t *term) settleClaim(ctx context.Context, ticket *claim.Ticket, rec job.Record, begun bool) {
-	if !begun {
-		t.p.Claims.Abandon(ctx, ticket)
-		return
-	}
-	t.p.Claims.Finish(ctx, ticket, []byte(rec.State))
-}
