Bound the heartbeats' traffic, and do without a joiner that left

Cause: every pair of VMs exchanged two heartbeats a second, each with the list of all VMs. TestStoreDownUnderLoad failed in 3 of 12 runs: a member that had acknowledged a joiner and not read it in the roster yet went on asking it after it had left.

Change: one exchange serves both ends of a pair; pairs in different data centres exchange at most seven times a second for each VM, so that up to seven remote VMs are heard each second, and more of them less often; the list of known VMs goes out after a new one was met and every 30 rounds. A joiner that left is not asked.

--- a/internal/peer/claim/member.go
+++ b/internal/peer/claim/member.go
@@ -115,7 +115,9 @@
 	v.Listed = contains(m.roster, m.Self.GetIncarnation())
 	v.Current = m.version == m.roster.GetVersion()
 	if m.joiner != nil && m.version == m.roster.GetVersion()+1 {
-		v.Members = append(v.Members, m.joiner)
+		if !m.excused[m.joiner.GetIncarnation()] {
+			v.Members = append(v.Members, m.joiner)
+		}
 		v.Current, v.Joining = true, true
 	}
 	return v
--- a/internal/peer/claim/member_test.go
+++ b/internal/peer/claim/member_test.go
@@ -68,3 +68,15 @@
 	other.Key = "k2"
 	is.Equal(grant(m, "a", 0, other).GetReason(), claim.RefusedFull)
 }
+
+// A joiner that leaves before this member read it in the roster is not asked.
+func TestLeavingJoinerIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	m := &claim.Member{Self: vm("a")}
+	pending := &peerv1.Roster{Version: 3, Members: []*peerv1.Vm{vm("a")}, Pending: vm("j")}
+	_, _, ok := m.Acknowledge(&peerv1.JoinRequest{Joiner: vm("j"), RosterVersion: 4, Roster: pending, ToIncarnation: "a"})
+	is.True(ok)
+	is.Equal(len(m.View().Members), 2)
+	m.Excuse(&peerv1.LeaveRequest{From: vm("j")}, time.Unix(0, 0))
+	is.Equal(len(m.View().Members), 1)
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -16,11 +16,19 @@
 
 // Times of the heartbeat protocol.
 const (
-	// Interval is the time between two heartbeats to one peer.
+	// Interval is the time between two heartbeats of a pair of VMs in one data
+	// centre, and in different ones while there are few of these pairs.
 	Interval = time.Second
-	// SilentAfter is the time without a heartbeat after which a peer is not
-	// counted as live.
-	SilentAfter = 3 * time.Second
+	// silentIntervals is the number of intervals without a heartbeat after
+	// which a peer is not counted as live.
+	silentIntervals = 3
+	// remotePerInterval is the number of exchanges with other data centres in
+	// one interval; with more VMs there, each pair exchanges less often.
+	remotePerInterval = 7
+	// knownTime is how long a VM tells whom it knows after it met a new peer,
+	// and knownRounds the number of rounds between two such lists otherwise.
+	knownTime   = 5 * time.Second
+	knownRounds = 30
 	// ForgetAfter is the time without a heartbeat after which a peer is no
 	// longer called.
 	ForgetAfter = 10 * time.Minute
@@ -53,6 +61,10 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer // by peer address
+	// rounds counts the rounds of heartbeats.
+	rounds int
+	// metNew is when this VM last heard of a new incarnation.
+	metNew time.Time
 }
 
 // Run sends heartbeats until ctx ends.
@@ -98,26 +110,53 @@
 	t.Addresses(t.Seeds)
 	hb := t.Heartbeat()
 	var wg sync.WaitGroup
-	for _, address := range t.known() {
+	for _, address := range t.due() {
 		wg.Go(func() { t.call(ctx, address, hb) })
 	}
 	wg.Wait()
 }
 
-func (t *Table) known() []string {
+// due returns the peers with which no heartbeat was exchanged lately. One
+// exchange serves both ends, so usually one of the two calls.
+func (t *Table) due() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rounds++
+	remote := t.remoteInterval()
 	var all []string
 	for a, p := range t.peers {
 		if time.Since(p.LastSeen) > ForgetAfter {
 			delete(t.peers, a)
 			continue
 		}
-		all = append(all, a)
+		interval := Interval
+		if t.isRemote(p) {
+			interval = remote
+		}
+		if p.State == nil || time.Since(p.LastSeen) > interval*3/5 {
+			all = append(all, a)
+		}
 	}
 	return all
 }
 
+// isRemote reports whether a peer is known to be in another data centre.
+func (t *Table) isRemote(p *Peer) bool {
+	return p.State != nil && p.VM.GetDataCentre() != t.Self.GetDataCentre()
+}
+
+// remoteInterval returns the time between two heartbeats of a pair in different
+// data centres. t.mu is held.
+func (t *Table) remoteInterval() time.Duration {
+	remote := 0
+	for _, p := range t.peers {
+		if t.isRemote(p) {
+			remote++
+		}
+	}
+	return max(Interval, Interval*time.Duration(remote)/remotePerInterval)
+}
+
 func (t *Table) call(ctx context.Context, address string, hb *peerv1.HeartbeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -137,8 +176,10 @@
 // Heartbeat returns this VM's current heartbeat.
 func (t *Table) Heartbeat() *peerv1.HeartbeatRequest {
 	hb := &peerv1.HeartbeatRequest{From: t.Self}
-	for _, p := range t.Live() {
-		hb.Known = append(hb.Known, p.VM)
+	if t.tellsKnown() {
+		for _, p := range t.Live() {
+			hb.Known = append(hb.Known, p.VM)
+		}
 	}
 	if t.Source != nil {
 		t.Source(hb)
@@ -146,6 +187,14 @@
 	return hb
 }
 
+// tellsKnown reports whether a heartbeat lists the known peers. The platform's
+// list tells them too, so a list now and then is enough.
+func (t *Table) tellsKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rounds%knownRounds == 0 || time.Since(t.metNew) < knownTime
+}
+
 // Receive takes a peer's heartbeat.
 func (t *Table) Receive(hb *peerv1.HeartbeatRequest) {
 	if hb.GetFrom().GetPeerAddress() == "" {
@@ -158,6 +207,9 @@
 		return
 	}
 	fresh := p.State == nil || p.VM.GetIncarnation() != hb.GetFrom().GetIncarnation()
+	if fresh {
+		t.metNew = time.Now()
+	}
 	p.VM, p.State, p.LastSeen = hb.GetFrom(), hb, time.Now()
 	for _, vm := range hb.GetKnown() {
 		t.add(vm.GetPeerAddress())
@@ -171,14 +223,19 @@
 	}
 }
 
-// Live returns the peers heard of within SilentAfter, ordered by VM id. This
-// VM itself is not among them.
+// Live returns the peers heard of within three intervals, ordered by VM id.
+// This VM itself is not among them.
 func (t *Table) Live() []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var live []Peer
+	remote := t.remoteInterval()
 	for _, p := range t.peers {
-		if p.State != nil && time.Since(p.LastSeen) <= SilentAfter {
+		interval := Interval
+		if t.isRemote(p) {
+			interval = remote
+		}
+		if p.State != nil && time.Since(p.LastSeen) <= silentIntervals*interval {
 			live = append(live, *p)
 		}
 	}
