Test a long outage, results beyond the limit and the deletion of claims

Conclusion: six hours of virtual time without the store serve 4,320 of 4,320 keys, whose results are in the store and returned whole at another VM afterwards; 700 of 700 claims are deleted after 24 h and 5 of 5 younger ones stay.

--- /dev/null
+++ b/internal/peer/claim/outage_test.go
@@ -0,0 +1,126 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/claim"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/peerv1"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/network"
+)
+
+// startFleet starts three VMs that are in their roster.
+func startFleet() *network.Fleet {
+	f := &network.Fleet{Network: &network.Network{Seed: 1}}
+	for _, id := range []string{"a", "b", "c"} {
+		f.List(id, true)
+		f.Start(id)
+	}
+	time.Sleep(time.Minute)
+	return f
+}
+
+func closeFleet(f *network.Fleet) {
+	f.Close()
+	time.Sleep(time.Minute)
+}
+
+// stored returns the claims in the store by state.
+func stored(f *network.Fleet) map[peerv1.ClaimState]int {
+	all := make(map[peerv1.ClaimState]int)
+	for _, e := range f.Network.Entries(claim.Prefix) {
+		var rec peerv1.ClaimRecord
+		if err := proto.Unmarshal(e.Value, &rec); err != nil {
+			panic(err)
+		}
+		all[rec.GetState()]++
+	}
+	return all
+}
+
+// Six hours without the store, a key every 5 s: all are served; afterwards the
+// store has every result, and a retry elsewhere gets it whole.
+func TestLongOutage(t *testing.T) {
+	const keys = 6 * 3600 / 5
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet()
+		defer closeFleet(f)
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			f.Network.CutStore(id, true)
+		}
+		ctx := context.Background()
+		for n := range keys {
+			v := f.VM(ids[n%len(ids)])
+			ticket, _, err := v.Book.Claim(ctx, network.Request(fmt.Sprint(n)))
+			is.NoErr(err)
+			v.Book.Finish(ctx, ticket, fmt.Append(nil, "result ", n))
+			time.Sleep(5 * time.Second)
+		}
+		f.Network.Heal()
+		time.Sleep(5 * time.Minute)
+		is.Equal(stored(f)[peerv1.ClaimState_CLAIM_STATE_DONE], keys)
+		for n := range 9 {
+			_, recorded, err := f.VM(ids[(n+1)%len(ids)]).Book.Claim(ctx, network.Request(fmt.Sprint(n)))
+			is.NoErr(err)
+			is.Equal(string(recorded.Result), fmt.Sprint("result ", n))
+		}
+	})
+}
+
+func TestResultBeyondTheLimitIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet()
+		defer closeFleet(f)
+		ctx := context.Background()
+		ticket, _, err := f.VM("a").Book.Claim(ctx, network.Request("k"))
+		is.NoErr(err)
+		f.VM("a").Book.Finish(ctx, ticket, make([]byte, claim.MaxResultBytes+1))
+		time.Sleep(time.Minute)
+		for _, id := range []string{"a", "b"} {
+			_, _, err = f.VM(id).Book.Claim(ctx, network.Request("k"))
+			is.Equal(fmt.Sprint(err), "the request ran; its result was not kept")
+		}
+		other := network.Request("k")
+		other.Digest = []byte("of another request")
+		_, _, err = f.VM("b").Book.Claim(ctx, other)
+		is.Equal(fmt.Sprint(err), "Idempotency-Key: was used for another request")
+	})
+}
+
+func TestSweepDeletesOldClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet()
+		defer closeFleet(f)
+		v := f.VM("a")
+		claimAll := func(prefix string, n int) {
+			for i := range n {
+				_, _, err := v.Book.Claim(context.Background(), network.Request(fmt.Sprint(prefix, i)))
+				is.NoErr(err)
+			}
+		}
+		claimAll("old", 700) // more than a page
+		time.Sleep(20 * time.Hour)
+		claimAll("new", 5)
+		s := claim.Sweeper{
+			KV: &network.Store{Network: f.Network, VM: "a", Timeout: time.Second}, Member: v.Member, Meter: &meter.Meter{},
+			Retention: func() time.Duration { return 24 * time.Hour }, Chosen: func() bool { return true },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 7*time.Hour)
+		defer cancel()
+		s.Run(ctx)
+		is.Equal(len(f.Network.Entries(claim.Prefix)), 5)
+		is.Equal(s.Meter.Count("claim_deleted"), int64(700))
+		is.Equal(v.Member.Expire(time.Time{}), 5) // nothing older is in memory either
+	})
+}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -266,6 +266,26 @@
 	return n.revision
 }
 
+// Delete deletes a key whose revision is ifRevision.
+func (s *Store) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	deleted := false
+	err := s.call(ctx, func() { deleted = s.Network.remove(key, ifRevision) })
+	if err == nil && !deleted {
+		return fault.New(fault.Conflict, "another revision")
+	}
+	return err
+}
+
+func (n *Network) remove(key string, ifRevision uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.entries[key].Revision != ifRevision {
+		return false
+	}
+	delete(n.entries, key)
+	return true
+}
+
 // ListPage returns a page of the entries whose keys begin with prefix.
 func (s *Store) ListPage(ctx context.Context, prefix, after string, limit int) ([]store.Entry, bool, error) {
 	var all []store.Entry
