Call a member again on a new connection, and leave no debt in the budget

Cause: a round over a connection that had gone silent counted as a member's silence: with the store down and all open connections frozen twice, TestOpenConnectionsGoSilent saw 2 of 204 and 1 of 280 keys refused. Calls that gave up waiting for the store's budget still used it up (TestBudgetBoundsTheRate failed).

Ruled out: the second call from the same pool; it passed one run of the test, but may meet a second frozen connection.

After: 0 of 309 and 0 of 291 refused; the budget test passes.

--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -59,6 +59,9 @@
 	Source Source
 	Sink   Sink
 
+	freshOnce sync.Once
+	fresh     *http.Client
+
 	mu    sync.Mutex
 	peers map[string]*Peer // by peer address
 	// rounds counts the rounds of heartbeats.
@@ -173,6 +176,20 @@
 	return peerv1connect.NewPeerServiceClient(t.HTTP, "http://"+address)
 }
 
+// FreshClient returns a client of the peer at an address that opens a
+// connection for each call.
+func (t *Table) FreshClient(address string) peerv1connect.PeerServiceClient {
+	t.freshOnce.Do(func() {
+		t.fresh = t.HTTP
+		if transport, ok := t.HTTP.Transport.(*http.Transport); ok {
+			clone := transport.Clone()
+			clone.DisableKeepAlives = true
+			t.fresh = &http.Client{Transport: clone}
+		}
+	})
+	return peerv1connect.NewPeerServiceClient(t.fresh, "http://"+address)
+}
+
 // Heartbeat returns this VM's current heartbeat.
 func (t *Table) Heartbeat() *peerv1.HeartbeatRequest {
 	hb := &peerv1.HeartbeatRequest{From: t.Self}
--- a/internal/platform/store/budget.go
+++ b/internal/platform/store/budget.go
@@ -23,22 +23,34 @@
 	DefaultBurst = 300
 )
 
-// Take waits for a call's turn. It returns false when ctx ends before.
+// Take waits for a call's turn. It returns false when ctx ends before; then it
+// leaves the turn to others.
 func (b *Budget) Take(ctx context.Context) (waited, ok bool) {
 	wait := b.reserve(time.Now())
 	if wait <= 0 {
 		return false, ctx.Err() == nil
 	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
+		b.giveBack()
+		return true, false
+	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+		b.giveBack()
 		return true, false
 	case <-t.C:
 		return true, true
 	}
 }
 
+func (b *Budget) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens++
+}
+
 // reserve takes a token and returns how long its taker has to wait.
 func (b *Budget) reserve(now time.Time) time.Duration {
 	b.mu.Lock()
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -86,7 +86,12 @@
 		is.Equal(time.Since(start).Round(time.Millisecond), 2*time.Second) // 5 at once, 20 at 10 a second
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
-		_, ok := b.Take(ctx)
-		is.True(!ok)
+		for range 100 {
+			_, ok := b.Take(ctx)
+			is.True(!ok)
+		}
+		time.Sleep(200 * time.Millisecond)
+		waited, ok := b.Take(context.Background())
+		is.True(ok && !waited) // those that gave up left no debt
 	})
 }
--- a/internal/proof/claims/claims_test.go
+++ b/internal/proof/claims/claims_test.go
@@ -366,3 +366,23 @@
 		f.Daemons["d"].Relay.Set(f.Daemons[vm].IP, m)
 	}
 }
+
+// All open connections between the VMs go silent for good while the store is
+// down: keys go on being served over new ones.
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	f.PlatformRelay.SetAll(relay.Refuse)
+	l := startLoad(f, "counters", "a", "b", "c", "d")
+	time.Sleep(stretch / 4)
+	for range 2 {
+		for _, d := range f.Daemons {
+			d.Relay.FreezeOpen()
+		}
+		time.Sleep(stretch / 4)
+	}
+	answered, refused := l.stop(t)
+	t.Logf("open connections silent: %d answered, %d not", answered, refused)
+	is.True(answered > 0)
+	is.Equal(refused, 0)
+}
