--- a/internal/control/planner/preempt_test.go
+++ b/internal/control/planner/preempt_test.go
@@ -55,7 +55,7 @@
 	defer server.Close()
 	doc := config.DefaultDocument()
 	doc.Defaults.CheckpointGrace.Duration = 100 * time.Millisecond
-	p.Config = func() config.Head { return config.Head{Version: 1, Document: doc} }
+	p.Config = func() config.Head { return config.Head{Header: config.Header{Version: 1}, Document: doc} }
 	p.Chosen = func() bool { return true }
 	records := &memory{kept: make(map[string]job.Record)}
 	p.Records = records
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -62,6 +62,9 @@
 	Source Source
 	Sink   Sink
 
+	freshOnce sync.Once
+	fresh     *http.Client
+
 	mu    sync.Mutex
 	peers map[string]*Peer // by peer address
 	nudge chan struct{}
@@ -71,6 +74,8 @@
 	// misses counts the failed calls to each other data centre since the last
 	// one that was answered.
 	misses map[string]int
+	// calledBy is the time of the last call from each other data centre.
+	calledBy map[string]time.Time
 }
 
 func (t *Table) nudges() chan struct{} {
@@ -149,7 +154,7 @@
 		t.Meter.Inc("heartbeat_lost")
 		return
 	}
-	t.Receive(resp.GetState())
+	t.take(resp.GetState())
 }
 
 // vmAt returns what is known of the VM at an address.
@@ -167,6 +172,20 @@
 	return peerv1connect.NewPeerServiceClient(t.HTTP, "http://"+address)
 }
 
+// FreshClient returns a client of the peer at an address that opens a
+// connection for each call.
+func (t *Table) FreshClient(address string) peerv1connect.PeerServiceClient {
+	t.freshOnce.Do(func() {
+		t.fresh = t.HTTP
+		if transport, ok := t.HTTP.Transport.(*http.Transport); ok {
+			clone := transport.Clone()
+			clone.DisableKeepAlives = true
+			t.fresh = &http.Client{Transport: clone}
+		}
+	})
+	return peerv1connect.NewPeerServiceClient(t.fresh, "http://"+address)
+}
+
 // Heartbeat returns this VM's current heartbeat to a receiver.
 func (t *Table) Heartbeat(to *peerv1.Vm) *peerv1.HeartbeatRequest {
 	t.mu.Lock()
@@ -179,8 +198,19 @@
 	return hb
 }
 
-// Receive takes a peer's heartbeat.
+// Receive takes a heartbeat of a peer that calls.
 func (t *Table) Receive(hb *peerv1.HeartbeatRequest) {
+	t.mu.Lock()
+	if t.calledBy == nil {
+		t.calledBy = make(map[string]time.Time)
+	}
+	t.calledBy[hb.GetFrom().GetDataCentre()] = time.Now()
+	t.mu.Unlock()
+	t.take(hb)
+}
+
+// take takes a peer's heartbeat, sent or answered.
+func (t *Table) take(hb *peerv1.HeartbeatRequest) {
 	if hb.GetFrom().GetPeerAddress() == "" {
 		return
 	}
--- a/internal/peer/gossip/scope.go
+++ b/internal/peer/gossip/scope.go
@@ -21,8 +21,8 @@
 
 // receivers returns the addresses to call in a round: all live VMs of the same
 // data centre; from the planner, one VM of every other data centre whose name
-// is greater, since one exchange serves both; and now and then the addresses
-// that do not answer.
+// is greater or that has not called lately, since one exchange serves both; and
+// now and then the addresses that do not answer.
 func (t *Table) receivers(round uint64) []string {
 	self := t.Self.GetDataCentre()
 	planner := t.plans()
@@ -46,7 +46,7 @@
 		return all
 	}
 	for dc, peers := range remote {
-		if p := t.contact(dc, peers); p.live() && self > dc {
+		if self > dc && time.Since(t.calledBy[dc]) <= SilentAfter {
 			continue
 		}
 		all = append(all, t.contact(dc, peers).VM.GetPeerAddress())
@@ -94,18 +94,18 @@
 	}
 }
 
-// known returns the VMs that a heartbeat tells a receiver of. A VM of another
-// data centre learns the VMs of this one; a VM of this data centre learns those
-// of the others from time to time, from the planner.
+// known returns the VMs that a heartbeat tells a receiver of: to a VM of another
+// data centre those of this one and, from time to time, those that it may not
+// have met, which are its own and one of every third data centre; to a VM of
+// this data centre, from time to time and from the planner, those of the others.
 func (t *Table) known(to *peerv1.Vm, round uint64) []*peerv1.Vm {
-	self := t.Self.GetDataCentre()
-	remote := to.GetDataCentre() != self
-	if !remote && (!t.plans() || round%summaryRounds != 0) {
+	self, other := t.Self.GetDataCentre(), to.GetDataCentre()
+	if other == self && (!t.plans() || round%summaryRounds != 0) {
 		return nil
 	}
 	var all []*peerv1.Vm
 	for _, p := range t.Live() {
-		if (p.VM.GetDataCentre() == self) != remote {
+		if !t.tells(p.VM, other, round) {
 			continue
 		}
 		vm := proto.CloneOf(p.VM)
@@ -115,6 +115,20 @@
 	return all
 }
 
+// tells reports whether a heartbeat to a data centre names a VM.
+func (t *Table) tells(vm *peerv1.Vm, receiver string, round uint64) bool {
+	self, dc := t.Self.GetDataCentre(), vm.GetDataCentre()
+	switch {
+	case receiver == self:
+		return dc != self
+	case dc == self:
+		return true
+	case round%searchRounds != 0:
+		return false
+	}
+	return dc == receiver || t.Planner(dc).GetVmId() == vm.GetVmId()
+}
+
 // learn takes what a peer knows of another VM. t.mu is held.
 func (t *Table) learn(vm *peerv1.Vm) {
 	p := t.add(vm.GetPeerAddress())
