Pack gangs into broken blocks, and bound the cost of an event

Change: idempotent jobs take the smallest block that holds them anywhere; searches of the own block are skipped when its unused part is too small; the limits of a fleet are kept between submissions.

--- a/internal/decide/gang/place.go
+++ b/internal/decide/gang/place.go
@@ -200,8 +200,11 @@
 // gap. It leaves the rack only when cross is set. Without a place, gap is the
 // position after the one that has no room.
 func (v view) window(first int, cross bool) (p *place, gap int) {
-	p = &place{}
 	nodes := v.s.fleet.nodes
+	if guarantee.Run(v.mask(nodes[first]), v.js.Accelerators) == 0 {
+		return nil, first + 1
+	}
+	p = &place{}
 	for i := first; i < len(nodes); i++ {
 		if nodes[i].rack != nodes[first].rack && !cross {
 			return nil, i
@@ -434,6 +437,11 @@
 
 // findOwn returns the cheapest place in the account's own block.
 func (v view) findOwn() *place {
+	a := v.js.account
+	unused := len(a.pieces)*a.Accelerators - a.own
+	if v.zone != urgent && unused < v.js.Tasks*v.js.Accelerators && !v.s.off.heldOnce {
+		return nil
+	}
 	var nodes []*node
 	for _, p := range v.js.account.pieces {
 		n := v.s.fleet.nodes[p.Worker]
@@ -453,9 +461,14 @@
 	var best *place
 	cost := 0
 	_, cross := v.s.span(v.js)
+	blocked := 0
 	for _, n := range nodes {
-		p, _ := v.window(n.pos, cross)
+		if n.pos < blocked {
+			continue
+		}
+		p, gap := v.window(n.pos, cross)
 		if p == nil {
+			blocked = gap
 			continue
 		}
 		if c := v.s.cost(p); best == nil || c < cost {
--- a/internal/decide/gang/plan.go
+++ b/internal/decide/gang/plan.go
@@ -8,7 +8,7 @@
 
 // groupTries bounds the queues of one shape that a round tries after accelerators
 // became free: queues of one shape find the same open places.
-const groupTries = 4
+const groupTries = 2
 
 // round is one call of Plan.
 type round struct {
@@ -127,18 +127,20 @@
 	r.fleet.steps++
 	yields := r.yields(js)
 	own := len(js.account.pieces) > 0 && !yields
-	if r.packs(js) {
-		if p := r.findBrokenNode(js, yields); p != nil {
-			return r.start(js, p, "fills a broken block")
+	if packs(js) {
+		if p := r.findOpen(js, yields); p != nil {
+			return r.start(js, p, "takes the smallest block that holds it")
 		}
 	}
-	if own {
+	if own && !packs(js) {
 		if p := (view{s: r.State, js: js, zone: ownFree}).findOwn(); p != nil {
 			return r.start(js, p, "runs within the guarantee")
 		}
 	}
-	if p := r.findOpen(js, yields); p != nil {
-		return r.start(js, p, "runs above the guarantee")
+	if !packs(js) {
+		if p := r.findOpen(js, yields); p != nil {
+			return r.start(js, p, "runs above the guarantee")
+		}
 	}
 	if own && !r.off.reclaim {
 		if p := (view{s: r.State, js: js, zone: reclaim}).findOwn(); p != nil {
@@ -160,24 +162,10 @@
 	return false
 }
 
-// packs reports whether a job goes first into workers that are in use already,
-// also above its guarantee, so that whole blocks stay whole.
-func (s *State) packs(js *jobState) bool {
-	return js.Idempotent && (js.Tasks == 1 || s.packsGangs())
-}
-
-// packsGangs reports whether fragmentation is weighed more than completion
-// time: whole gangs are packed then too.
-func (s *State) packsGangs() bool { return s.weights.Fragmentation > s.weights.CompletionTime }
-
-// findBrokenNode looks for room at workers that are in use already.
-func (r *round) findBrokenNode(js *jobState, yields bool) *place {
-	p := view{s: r.State, js: js, zone: anywhere, spareOwn: yields}.find()
-	if p == nil || p.nodes[0].whole() && !r.packsGangs() {
-		return nil
-	}
-	return p
-}
+// packs reports whether a job takes the smallest block that holds it, in its
+// account's block or not, so that whole blocks stay whole. A job that cannot be
+// put back runs in its account's block when it can.
+func packs(js *jobState) bool { return js.Idempotent }
 
 // findOpen looks for room outside the guarantee. A job that cannot be put back
 // does not borrow from a block.
--- a/internal/decide/gang/reserve.go
+++ b/internal/decide/gang/reserve.go
@@ -9,7 +9,7 @@
 
 const (
 	// targetSample bounds the places that a reservation is chosen from.
-	targetSample = 24
+	targetSample = 7
 	// compactionShare is the part of a reserved place that may be cleared by
 	// moving small borrowers when fragmentation alone is weighed.
 	compactionShare = 1.3
--- a/internal/decide/gang/state.go
+++ b/internal/decide/gang/state.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/guarantee"
 )
 
@@ -21,6 +20,9 @@
 	// order lists the groups in the order in which they were made.
 	order   []*group
 	weights Weights
+	// limits holds what the whole fleet could hold, by the accelerators of a
+	// task.
+	limits map[int]limits
 	// recarve says that the blocks may no longer back the guarantees.
 	recarve bool
 	// ready are the jobs whose claimed place has become free.
@@ -95,6 +97,7 @@
 	if !ok {
 		s.dropClaims()
 		s.fleet.add(w)
+		s.limits = nil
 		s.forgetPieces()
 		s.recarve = true
 		return
@@ -107,6 +110,7 @@
 		return
 	}
 	n.Worker, n.gone = w, false
+	s.limits = nil
 	s.changed(n)
 }
 
@@ -124,6 +128,7 @@
 	}
 	n.Worker, n.gone = w, false
 	n.resize()
+	s.limits = nil
 	s.fleet.arrange()
 	s.forgetPieces()
 	s.recarve = true
@@ -171,6 +176,7 @@
 		return
 	}
 	n.gone = true
+	s.limits = nil
 	s.changed(n)
 }
 
@@ -477,58 +483,3 @@
 	}
 	return sum
 }
-
-// fits returns an error of kind NeverFits that names the limit.
-func (s *State) fits(j Job) error {
-	if j.Tasks < 1 || j.Accelerators < 1 {
-		return fault.WithField(fault.NeverFits, "tasks", "%d tasks of %d accelerators; each is at least 1", j.Tasks, j.Accelerators)
-	}
-	places, run, longest, widest, total := 0, 0, 0, 0, 0
-	for _, n := range s.fleet.nodes {
-		k := 0
-		if !n.gone {
-			k = count(guarantee.All(n.Accelerators), j.Accelerators, j.Tasks)
-			widest, total = max(widest, n.Accelerators), total+n.Accelerators
-		}
-		places += k
-		run += k
-		if k == 0 {
-			run = 0
-		}
-		longest = max(longest, run)
-	}
-	switch {
-	case places == 0:
-		return fault.WithField(fault.NeverFits, "accelerators",
-			"%d adjacent accelerators; the largest worker has %d", j.Accelerators, widest)
-	case places < j.Tasks:
-		return fault.WithField(fault.NeverFits, "tasks",
-			"%d tasks of %d accelerators; the data centre holds at most %d", j.Tasks, j.Accelerators, places)
-	case j.Adjacent && longest < j.Tasks:
-		return fault.WithField(fault.NeverFits, "adjacent",
-			"%d adjacent tasks of %d accelerators; neighbouring workers hold at most %d", j.Tasks, j.Accelerators, longest)
-	}
-	return s.mayHold(j, total)
-}
-
-// mayHold refuses a job that cannot be put back and is larger than its
-// account's guarantee together with what nobody is guaranteed.
-func (s *State) mayHold(j Job, total int) error {
-	if j.Idempotent {
-		return nil
-	}
-	limit, own := total, 0
-	for _, a := range s.configured {
-		if a.ID == j.Account {
-			own = a.Workers * a.Accelerators
-			continue
-		}
-		limit -= a.Workers * a.Accelerators
-	}
-	limit = max(limit, own)
-	if need := j.Tasks * j.Accelerators; need > limit {
-		return fault.WithField(fault.NeverFits, "idempotent",
-			"%d accelerators for a job that cannot be put back; outside the guarantees of others there are %d", need, limit)
-	}
-	return nil
-}
--- a/internal/decide/gang/tidy.go
+++ b/internal/decide/gang/tidy.go
@@ -15,7 +15,7 @@
 // accelerators became free, and only when fragmentation is weighed more than
 // completion time.
 func (r *round) tidy(racks []*rack) {
-	if !r.packsGangs() {
+	if r.weights.Fragmentation <= r.weights.CompletionTime {
 		return
 	}
 	for _, rk := range racks {
