--- a/internal/control/planner/adopt.go
+++ b/internal/control/planner/adopt.go
@@ -177,7 +177,7 @@
 	if e.phase == starting || e.phase == stopping {
 		return
 	}
-	t.state.Ended(e.rec.ID, time.Now())
+	t.leaveState(e.rec.ID, r.State)
 	t.drop(e)
 	e.phase = ended
 	e.rec = r
--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -172,7 +172,9 @@
 	case o.Kind == gang.Preempt && e.phase == starting && e.rec.Idempotent:
 		e.preemption = o.Reason
 		t.p.Meter.Inc("gang_preempted_at_start")
-	case o.Kind == gang.Start || o.Kind == gang.Preempt:
+	case o.Kind == gang.Fail && e.phase == waiting:
+		t.finish(e, job.Failed, o.Reason)
+	case o.Kind == gang.Start || o.Kind == gang.Preempt || o.Kind == gang.Fail:
 		t.p.Meter.Inc("planner_order_out_of_phase")
 	default:
 		t.p.Meter.Inc("planner_order_unknown")
--- a/internal/control/planner/jobs.go
+++ b/internal/control/planner/jobs.go
@@ -136,9 +136,19 @@
 	return false
 }
 
+// leaveState tells the decisions that a job ended. They learn the run time of a
+// job that is done only. t.mu is held.
+func (t *term) leaveState(id string, s job.State) {
+	if s == job.Done {
+		t.state.Ended(id, time.Now())
+		return
+	}
+	t.state.Cancelled(id, time.Now())
+}
+
 // finish ends a job. t.mu is held.
 func (t *term) finish(e *entry, s job.State, reason string) {
-	t.state.Ended(e.rec.ID, time.Now())
+	t.leaveState(e.rec.ID, s)
 	t.drop(e)
 	t.spend(e)
 	e.phase = ended
--- a/internal/peer/claim/holds.go
+++ b/internal/peer/claim/holds.go
@@ -21,14 +21,19 @@
 	Meter  *meter.Meter
 }
 
-// Hold returns nil once every roster member holds the record.
+// Hold returns nil once every roster member holds the record. An error of kind
+// StoreUnavailable means that none holds it, and ClaimUnresolved that some may.
 func (h *Holds) Hold(ctx context.Context, rec *peerv1.HeldRecord) error {
 	v := h.Member.View()
 	if !v.Listed || !v.Current {
 		return fault.New(fault.StoreUnavailable, "the roster is not known and the store cannot be read")
 	}
-	for _, vm := range v.Members {
-		if err := h.holdAt(ctx, vm, v.Version, rec); err != nil {
+	for i, vm := range v.Members {
+		err := h.holdAt(ctx, vm, v.Version, rec)
+		if err != nil && i > 0 {
+			return fault.Wrap(fault.ClaimUnresolved, err, "%d members hold the record", i)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -50,7 +55,7 @@
 	h.Meter.Inc("record_message")
 	resp, err := h.Peers.HoldRecord(ctx, vm, in)
 	if err != nil {
-		return fault.Wrap(fault.StoreUnavailable, err, "VM %s does not hold the record", vm.GetVmId())
+		return fault.Wrap(fault.ClaimUnresolved, err, "VM %s may hold the record", vm.GetVmId())
 	}
 	if !resp.GetHeld() {
 		return fault.New(fault.StoreUnavailable, "VM %s refused to hold the record: %s", vm.GetVmId(), resp.GetReason())
--- a/internal/peer/serve/serve.go
+++ b/internal/peer/serve/serve.go
@@ -50,7 +50,11 @@
 // ListJobs returns the jobs of the planner at this VM.
 func (s *Service) ListJobs(_ context.Context, in *peerv1.ListJobsRequest) (*peerv1.ListJobsResponse, error) {
 	resp := &peerv1.ListJobsResponse{}
-	for _, v := range s.Desk.LocalViews(in.GetJobId(), in.GetExplain()) {
+	views, err := s.Desk.Views(in.GetJobId(), in.GetExplain())
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range views {
 		b, err := json.Marshal(v)
 		if err != nil {
 			return nil, err
--- a/internal/platform/record/held.go
+++ b/internal/platform/record/held.go
@@ -46,7 +46,8 @@
 )
 
 // Save returns nil once the record, or one of a higher sequence, is kept in the
-// store or by every roster member. An error means that it may be kept.
+// store or by every roster member. An error of kind StoreUnavailable means that
+// nothing is kept; with another error the record may be kept.
 func (k *Keeper) Save(ctx context.Context, rec *peerv1.HeldRecord) error {
 	storeCtx, cancel := context.WithTimeout(ctx, saveTimeout)
 	err := k.Store.Save(storeCtx, rec)
@@ -60,13 +61,23 @@
 	}
 	if holdErr := k.Holder.Hold(ctx, rec); holdErr != nil {
 		k.Meter.Inc("record_not_kept")
-		return errors.Join(err, holdErr)
+		return notKept(err, holdErr)
 	}
 	k.Meter.Inc("record_held")
 	k.wakeUp()
 	return nil
 }
 
+// notKept returns an error whose kind says that nothing is kept only if neither
+// the store nor a member may keep the record.
+func notKept(storeErr, holdErr error) error {
+	err := errors.Join(storeErr, holdErr)
+	if fault.Is(storeErr, fault.StoreUnavailable) && fault.Is(holdErr, fault.StoreUnavailable) {
+		return fault.Wrap(fault.StoreUnavailable, err, "the record is not kept")
+	}
+	return fault.Wrap(fault.ClaimUnresolved, err, "the record may be kept")
+}
+
 // Load returns the kept records whose keys begin with prefix. While the store
 // is down it returns those that this VM holds, with an error.
 func (k *Keeper) Load(ctx context.Context, prefix string) ([]*peerv1.HeldRecord, error) {
--- a/internal/platform/record/held_test.go
+++ b/internal/platform/record/held_test.go
@@ -52,6 +52,54 @@
 	return s.rev, nil
 }
 
+func (s *kv) Delete(_ context.Context, key string, _ uint64) error {
+	delete(s.entries, key)
+	return nil
+}
+
+// silent is a member that takes a record and does not answer.
+type silent struct{}
+
+func (silent) HoldRecord(context.Context, *peerv1.Vm, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error) {
+	return nil, context.DeadlineExceeded
+}
+
+// A record that one member may hold can be written later: "not kept" is then
+// not true.
+func TestRecordHeldBySomeMembersIsUnresolved(t *testing.T) {
+	is := is.New(t)
+	self := &peerv1.Vm{VmId: "a", Incarnation: "a#1"}
+	m := &claim.Member{Self: self}
+	m.Adopt(&peerv1.Roster{Version: 2, Members: []*peerv1.Vm{self, {VmId: "b", Incarnation: "b#1"}}})
+	s := &kv{entries: make(map[string]store.Entry), down: true}
+	k := &record.Keeper{
+		Store: &record.Records{KV: s}, Holder: &claim.Holds{Member: m, Peers: silent{}, Meter: &meter.Meter{}}, Meter: &meter.Meter{},
+	}
+	err := k.Save(context.Background(), &peerv1.HeldRecord{Key: "jobs/x", Sequence: 1})
+	is.Equal(fault.KindOf(err), fault.ClaimUnresolved)
+}
+
+// unanswered loses the answer of the first write and refuses the next.
+type unanswered struct {
+	kv
+	puts int
+}
+
+func (s *unanswered) Put(context.Context, string, []byte, uint64) (uint64, error) {
+	s.puts++
+	if s.puts == 1 {
+		return 0, fault.New(fault.ClaimUnresolved, "no answer")
+	}
+	return 0, fault.New(fault.StoreUnavailable, "down")
+}
+
+func TestUnansweredWriteStaysUnresolved(t *testing.T) {
+	is := is.New(t)
+	r := &record.Records{KV: &unanswered{}}
+	err := r.Save(context.Background(), &peerv1.HeldRecord{Key: "jobs/x", Sequence: 1})
+	is.Equal(fault.KindOf(err), fault.ClaimUnresolved)
+}
+
 func TestRecordIsHeldAndFlushed(t *testing.T) {
 	is := is.New(t)
 	self := &peerv1.Vm{VmId: "a", Incarnation: "a#1"}
--- a/internal/platform/record/record.go
+++ b/internal/platform/record/record.go
@@ -17,6 +17,7 @@
 	Get(ctx context.Context, key string) (store.Entry, bool, error)
 	List(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (uint64, error)
+	Delete(ctx context.Context, key string, ifRevision uint64) error
 }
 
 // Records keeps records in the store. A record never goes back to a lower
@@ -44,11 +45,13 @@
 	if fault.Is(err, fault.StoreUnavailable) {
 		return err
 	}
-	return r.saveAgain(ctx, rec, value)
+	return r.saveAgain(ctx, rec, value, !fault.Is(err, fault.Conflict))
 }
 
 // saveAgain resolves a refused or unanswered write by reading the record back.
-func (r *Records) saveAgain(ctx context.Context, rec *peerv1.HeldRecord, value []byte) error {
+// After an unanswered one, which may yet take effect, no error says that nothing
+// was written.
+func (r *Records) saveAgain(ctx context.Context, rec *peerv1.HeldRecord, value []byte, unanswered bool) error {
 	e, found, err := r.KV.Get(ctx, rec.GetKey())
 	if err != nil {
 		return fault.Wrap(fault.ClaimUnresolved, err, "read %s back", rec.GetKey())
@@ -64,6 +67,9 @@
 		}
 	}
 	rev, err := r.KV.Put(ctx, rec.GetKey(), value, e.Revision)
+	if err != nil && unanswered {
+		return fault.Wrap(fault.ClaimUnresolved, err, "write %s again", rec.GetKey())
+	}
 	if err != nil {
 		return err
 	}
@@ -86,6 +92,21 @@
 	r.revisions[key] = rev
 }
 
+// Delete deletes a record. Deleting one that does not exist is no error.
+func (r *Records) Delete(ctx context.Context, key string) error {
+	e, found, err := r.KV.Get(ctx, key)
+	if err != nil || !found {
+		return err
+	}
+	if err := r.KV.Delete(ctx, key, e.Revision); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.revisions, key)
+	return nil
+}
+
 // Load returns all records whose keys begin with prefix.
 func (r *Records) Load(ctx context.Context, prefix string) ([]*peerv1.HeldRecord, error) {
 	entries, _, err := r.KV.List(ctx, prefix)
