Introduce VMs that share one seed, and measure capacity by slopes

Ruled out: the full list in each heartbeat (125 KB/s worked out for 24 VMs).

Change: every fifth round a heartbeat to another data centre also names the receiver's own VMs and one VM of each third data centre; the planner tells its own VMs of all. A VM of the own data centre is live only once it was heard directly. The capacity benchmark measures slopes; the one for whole daemons reads their processor time and memory.

--- /dev/null
+++ b/internal/bench/daemon/daemon_test.go
@@ -0,0 +1,128 @@
+// Package daemon measures the processor time, memory and traffic that whole
+// daemon processes spend on control, at several sizes.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/bench/report"
+	"github.com/dogwoodworks/dogwoodworks/internal/bench/slope"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
+	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/fleet"
+)
+
+func TestMain(m *testing.M) { fleet.Main(m) }
+
+const (
+	// workersOfDataCentre is a data centre's share of the letter's 1,300 workers.
+	workersOfDataCentre = 163
+	tasksPerWorker      = 5
+	settle              = 4 * time.Second
+	window              = 6 * time.Second
+	budgetMemory        = 256e6
+	// clockTicks is the unit of processor time in /proc, in ticks a second.
+	clockTicks = 100
+)
+
+const configuration = `
+[defaults]
+lease = "30s"
+[[kinds]]
+name = "solve"
+class = "normal"
+idempotent = true
+[[accounts]]
+id = "st-anne"
+`
+
+// usage is what one process has spent.
+type usage struct {
+	cpuSeconds float64
+	// residentBytes is the process's resident memory.
+	residentBytes float64
+}
+
+func TestBenchDaemon(t *testing.T) {
+	var cpu, memory []slope.Point
+	for _, n := range []int{8, 48, 96} {
+		before, after := run(t, n)
+		cores := (after.cpuSeconds - before.cpuSeconds) / window.Seconds()
+		cpu = append(cpu, slope.Point{Size: float64(n), Value: 100 * cores})
+		memory = append(memory, slope.Point{Size: float64(n), Value: after.residentBytes})
+	}
+	cpuLine, memoryLine := slope.Fit(cpu), slope.Fit(memory)
+	failed := report.Print([]report.Measure{
+		{
+			Area: "daemon", Name: "planner's VM, processor at a data centre's share", Unit: "% of a core",
+			Value: cpuLine.At(workersOfDataCentre), Note: "wall time: reported only; the letter allows 3.4",
+		},
+		{Area: "daemon", Name: "planner's VM, processor for each worker", Unit: "% of a core", Value: cpuLine.PerUnit},
+		{
+			Area: "daemon", Name: "planner's VM, memory at a data centre's share", Unit: "B",
+			Value: memoryLine.At(workersOfDataCentre), AtMost: report.F(budgetMemory), Note: "resident, whole process",
+		},
+	})
+	if len(failed) > 0 {
+		t.Fatalf("out of bounds: %v", failed)
+	}
+}
+
+// run starts a data centre of one VM and n workers, fills the workers with
+// running jobs, and returns the daemon's usage before and after a window.
+func run(t *testing.T, n int) (before, after usage) {
+	t.Helper()
+	spec := fleet.Spec{VMs: []fleet.VM{{ID: "a", DataCentre: "uppland-1", Region: "uppland"}}, Config: configuration}
+	for i := range n {
+		spec.Workers = append(spec.Workers, vmlist.VM{
+			ID: fmt.Sprintf("w%03d", i), DataCentre: "uppland-1", Region: "uppland",
+			Rack: fmt.Sprintf("rack-%02d", i/8), Accelerators: 8,
+		})
+	}
+	f := fleet.Start(t, spec)
+	d := f.Daemons["a"]
+	submit := func() error {
+		in := caller.JobBody{Account: "st-anne", Kind: "solve", Tasks: 8, Accelerators: 1, DeclaredMS: 3600000}
+		return d.CallerClient().Call(context.Background(), http.MethodPost, "/v1/jobs", in, nil)
+	}
+	for range n * tasksPerWorker / 8 {
+		f.Until(settle, "job admitted", func() bool { return submit() == nil })
+	}
+	time.Sleep(settle)
+	before = read(t, d.PID())
+	time.Sleep(window)
+	after = read(t, d.PID())
+	d.Kill()
+	return before, after
+}
+
+// read reads a process's usage from /proc.
+func read(t *testing.T, pid int) usage {
+	t.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The fields after the command's name begin with the third.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	number := func(i int) float64 {
+		v, err := strconv.ParseFloat(fields[i-3], 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	const userTime, systemTime, residentPages = 14, 15, 24
+	return usage{
+		cpuSeconds:    (number(userTime) + number(systemTime)) / clockTicks,
+		residentBytes: number(residentPages) * float64(os.Getpagesize()),
+	}
+}
--- /dev/null
+++ b/internal/bench/wire/wire.go
@@ -0,0 +1,52 @@
+// Package wire counts the bytes of connections in benchmarks.
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// Counter counts the bytes that pass connections, headers included. The zero
+// value is ready to use.
+type Counter struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Bytes returns the number of bytes sent and received so far.
+func (c *Counter) Bytes() int64 { return c.sent.Load() + c.received.Load() }
+
+// Client returns an HTTP client whose connections are counted.
+func (c *Counter) Client() *http.Client {
+	var d net.Dialer
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &counted{Conn: conn, counter: c}, nil
+		},
+	}}
+}
+
+type counted struct {
+	net.Conn
+	counter *Counter
+}
+
+// Read counts received bytes.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counter.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts sent bytes.
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counter.sent.Add(int64(n))
+	return n, err
+}
--- a/internal/control/planner/execute.go
+++ b/internal/control/planner/execute.go
@@ -165,13 +165,8 @@
 		e.rec.Slots = o.Slots
 		t.note(e, "placed: "+o.Reason)
 		return operation{kind: startGang, entry: e}, true
-	case o.Kind == gang.Preempt && e.phase == running && !e.rec.Idempotent:
-		t.p.Meter.Inc("planner_preempt_refused")
-	case o.Kind == gang.Preempt && e.phase == running:
-		return t.beginPreemption(e, o.Reason), true
-	case o.Kind == gang.Preempt && e.phase == starting && e.rec.Idempotent:
-		e.preemption = o.Reason
-		t.p.Meter.Inc("gang_preempted_at_start")
+	case o.Kind == gang.Preempt && (e.phase == running || e.phase == starting):
+		return t.acceptPreemption(e, o.Reason)
 	case o.Kind == gang.Fail && e.phase == waiting:
 		t.finish(e, job.Failed, o.Reason)
 	case o.Kind == gang.Start || o.Kind == gang.Preempt || o.Kind == gang.Fail:
@@ -182,6 +177,24 @@
 	return operation{}, false
 }
 
+// acceptPreemption begins the pre-emption of a running gang, and marks a
+// starting one for it. A non-idempotent job is never stopped to run again.
+// t.mu is held.
+func (t *term) acceptPreemption(e *entry, why string) (operation, bool) {
+	switch {
+	case !e.rec.Idempotent && e.phase == running:
+		t.p.Meter.Inc("planner_preempt_refused")
+	case !e.rec.Idempotent:
+		t.p.Meter.Inc("planner_order_out_of_phase")
+	case e.phase == running:
+		return t.beginPreemption(e, why), true
+	default:
+		e.preemption = why
+		t.p.Meter.Inc("gang_preempted_at_start")
+	}
+	return operation{}, false
+}
+
 // beginPreemption begins the pre-emption of a running gang. t.mu is held.
 func (t *term) beginPreemption(e *entry, why string) operation {
 	reason := "pre-empted: " + why
--- a/internal/peer/gossip/scope.go
+++ b/internal/peer/gossip/scope.go
@@ -97,7 +97,7 @@
 // known returns the VMs that a heartbeat tells a receiver of: to a VM of another
 // data centre those of this one and, from time to time, those that it may not
 // have met, which are its own and one of every third data centre; to a VM of
-// this data centre, from time to time and from the planner, those of the others.
+// this data centre, from time to time and from the planner, all.
 func (t *Table) known(to *peerv1.Vm, round uint64) []*peerv1.Vm {
 	self, other := t.Self.GetDataCentre(), to.GetDataCentre()
 	if other == self && (!t.plans() || round%summaryRounds != 0) {
@@ -119,9 +119,7 @@
 func (t *Table) tells(vm *peerv1.Vm, receiver string, round uint64) bool {
 	self, dc := t.Self.GetDataCentre(), vm.GetDataCentre()
 	switch {
-	case receiver == self:
-		return dc != self
-	case dc == self:
+	case receiver == self || dc == self:
 		return true
 	case round%searchRounds != 0:
 		return false
@@ -129,10 +127,11 @@
 	return dc == receiver || t.Planner(dc).GetVmId() == vm.GetVmId()
 }
 
-// learn takes what a peer knows of another VM. t.mu is held.
+// learn takes what a peer knows of another VM. A VM of this data centre is live
+// only once it was heard directly. t.mu is held.
 func (t *Table) learn(vm *peerv1.Vm) {
 	p := t.add(vm.GetPeerAddress())
-	if p == nil || vm.GetVmId() == "" {
+	if p == nil || vm.GetVmId() == "" || vm.GetDataCentre() == t.Self.GetDataCentre() {
 		return
 	}
 	seen := time.Now().Add(-time.Duration(vm.GetAgeMs()) * time.Millisecond)
