Learn the targets from a peer while the platform cannot be reached

Cause: a VM that restarts during an outage of the platform took its configuration from its peer but knew no target, so it was ready and served nothing.

Ruled out: keeping the list in the store (it is down in the same outage).

Change: ListTargets gives the list that a peer has read. It carries no revision and proves no VM gone.

Before: TestVMRestartedWithoutThePlatformServes fails after 10 s.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -129,7 +129,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(&serve.Service{
 		Gossip: d.gossip, Planner: d.planner, Desk: d.desk, Config: d.keeper,
-		Member: d.homes.member, Roster: d.homes.roster, Forward: d.homes.router,
+		Targets: d.listedJSON,
+		Member:  d.homes.member, Roster: d.homes.roster, Forward: d.homes.router,
 	}))
 	d.peers = jsonhttp.NewServer(d.peerLimits(), d.meter, mux)
 }
@@ -235,37 +236,6 @@
 	d.takeList(a)
 }
 
-// takeList takes the platform's list.
-func (d *Daemon) takeList(a vmlist.ListAnswer) {
-	var runners, workers, allWorkers []vmlist.VM
-	var peers []string
-	var entries []vmlist.VM
-	for _, vm := range a.VMs {
-		switch vm.Role {
-		case vmlist.Runner:
-			runners = append(runners, vm)
-		case vmlist.Worker:
-			allWorkers = append(allWorkers, vm)
-			if vm.DataCentre == d.settings.DataCentre {
-				workers = append(workers, vm)
-			}
-		case vmlist.Entry:
-			peers = append(peers, vm.Address)
-			entries = append(entries, vm)
-		}
-	}
-	d.gossip.Addresses(peers)
-	d.setTargets(a.VMs)
-	d.homes.takeList(a)
-	d.dispatch.SetEntryVMs(entries)
-	d.dispatch.SetRunners(runners)
-	d.planner.SetWorkers(workers)
-	d.desk.SetWorkers(allWorkers)
-	d.mu.Lock()
-	d.workers = workers
-	d.mu.Unlock()
-}
-
 // drain stops as planned.
 func (d *Daemon) drain() error {
 	p := drain.Plan{
--- a/internal/control/daemon/roster.go
+++ b/internal/control/daemon/roster.go
@@ -125,6 +125,9 @@
 		a, err := d.vms.Watch(ctx, after)
 		if err != nil {
 			d.meter.Inc("vmlist_error")
+			if d.listed.Load() == nil {
+				d.listFromPeers(ctx)
+			}
 			backoff.Wait(ctx)
 			continue
 		}
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -48,6 +48,8 @@
 	PeerServiceHoldRecordProcedure = "/dogwoodworks.peer.v1.PeerService/HoldRecord"
 	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
 	PeerServiceFetchConfigProcedure = "/dogwoodworks.peer.v1.PeerService/FetchConfig"
+	// PeerServiceListTargetsProcedure is the fully-qualified name of the PeerService's ListTargets RPC.
+	PeerServiceListTargetsProcedure = "/dogwoodworks.peer.v1.PeerService/ListTargets"
 	// PeerServiceForwardRequestProcedure is the fully-qualified name of the PeerService's
 	// ForwardRequest RPC.
 	PeerServiceForwardRequestProcedure = "/dogwoodworks.peer.v1.PeerService/ForwardRequest"
@@ -75,6 +77,8 @@
 	HoldRecord(context.Context, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error)
 	// FetchConfig returns the sections that changed since a version.
 	FetchConfig(context.Context, *peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, error)
+	// ListTargets returns the platform's list of VMs as this VM last read it.
+	ListTargets(context.Context, *peerv1.ListTargetsRequest) (*peerv1.ListTargetsResponse, error)
 	// ForwardRequest serves a request on behalf of another VM.
 	ForwardRequest(context.Context, *peerv1.ForwardRequestRequest) (*peerv1.ForwardRequestResponse, error)
 	// SubmitJob hands an admitted job to the planner.
@@ -138,6 +142,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		listTargets: connect.NewClient[peerv1.ListTargetsRequest, peerv1.ListTargetsResponse](
+			httpClient,
+			baseURL+PeerServiceListTargetsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ListTargets")),
+			connect.WithClientOptions(opts...),
+		),
 		forwardRequest: connect.NewClient[peerv1.ForwardRequestRequest, peerv1.ForwardRequestResponse](
 			httpClient,
 			baseURL+PeerServiceForwardRequestProcedure,
@@ -174,6 +184,7 @@
 	leave          *connect.Client[peerv1.LeaveRequest, peerv1.LeaveResponse]
 	holdRecord     *connect.Client[peerv1.HoldRecordRequest, peerv1.HoldRecordResponse]
 	fetchConfig    *connect.Client[peerv1.FetchConfigRequest, peerv1.FetchConfigResponse]
+	listTargets    *connect.Client[peerv1.ListTargetsRequest, peerv1.ListTargetsResponse]
 	forwardRequest *connect.Client[peerv1.ForwardRequestRequest, peerv1.ForwardRequestResponse]
 	submitJob      *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
 	listJobs       *connect.Client[peerv1.ListJobsRequest, peerv1.ListJobsResponse]
@@ -243,6 +254,15 @@
 	return nil, err
 }
 
+// ListTargets calls dogwoodworks.peer.v1.PeerService.ListTargets.
+func (c *peerServiceClient) ListTargets(ctx context.Context, req *peerv1.ListTargetsRequest) (*peerv1.ListTargetsResponse, error) {
+	response, err := c.listTargets.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ForwardRequest calls dogwoodworks.peer.v1.PeerService.ForwardRequest.
 func (c *peerServiceClient) ForwardRequest(ctx context.Context, req *peerv1.ForwardRequestRequest) (*peerv1.ForwardRequestResponse, error) {
 	response, err := c.forwardRequest.CallUnary(ctx, connect.NewRequest(req))
@@ -295,6 +315,8 @@
 	HoldRecord(context.Context, *peerv1.HoldRecordRequest) (*peerv1.HoldRecordResponse, error)
 	// FetchConfig returns the sections that changed since a version.
 	FetchConfig(context.Context, *peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, error)
+	// ListTargets returns the platform's list of VMs as this VM last read it.
+	ListTargets(context.Context, *peerv1.ListTargetsRequest) (*peerv1.ListTargetsResponse, error)
 	// ForwardRequest serves a request on behalf of another VM.
 	ForwardRequest(context.Context, *peerv1.ForwardRequestRequest) (*peerv1.ForwardRequestResponse, error)
 	// SubmitJob hands an admitted job to the planner.
@@ -354,6 +376,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceListTargetsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceListTargetsProcedure,
+		svc.ListTargets,
+		connect.WithSchema(peerServiceMethods.ByName("ListTargets")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceForwardRequestHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceForwardRequestProcedure,
 		svc.ForwardRequest,
@@ -394,6 +422,8 @@
 			peerServiceHoldRecordHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigProcedure:
 			peerServiceFetchConfigHandler.ServeHTTP(w, r)
+		case PeerServiceListTargetsProcedure:
+			peerServiceListTargetsHandler.ServeHTTP(w, r)
 		case PeerServiceForwardRequestProcedure:
 			peerServiceForwardRequestHandler.ServeHTTP(w, r)
 		case PeerServiceSubmitJobProcedure:
@@ -439,6 +469,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.FetchConfig is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) ListTargets(context.Context, *peerv1.ListTargetsRequest) (*peerv1.ListTargetsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.ListTargets is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) ForwardRequest(context.Context, *peerv1.ForwardRequestRequest) (*peerv1.ForwardRequestResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dogwoodworks.peer.v1.PeerService.ForwardRequest is not implemented"))
 }
--- a/internal/peer/serve/serve.go
+++ b/internal/peer/serve/serve.go
@@ -27,6 +27,9 @@
 	Planner job.Planner
 	Desk    *job.Desk
 	Config  Configuration
+	// Targets returns the platform's list as this VM last read it, nil when it
+	// read none.
+	Targets func() []byte
 }
 
 // Heartbeat takes a peer's heartbeat and answers with this VM's own.
@@ -35,6 +38,11 @@
 	return &peerv1.HeartbeatResponse{State: s.Gossip.Heartbeat(hb.GetFrom())}, nil
 }
 
+// ListTargets returns the platform's list as this VM last read it.
+func (s *Service) ListTargets(context.Context, *peerv1.ListTargetsRequest) (*peerv1.ListTargetsResponse, error) {
+	return &peerv1.ListTargetsResponse{List: s.Targets()}, nil
+}
+
 // SubmitJob hands a job to the planner at this VM.
 func (s *Service) SubmitJob(ctx context.Context, in *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
 	var r job.Record
--- a/internal/proof/path/path_test.go
+++ b/internal/proof/path/path_test.go
@@ -76,3 +76,18 @@
 	b.Signal(syscall.SIGCONT)
 	f.Until(10*time.Second, "b is back", sees(2))
 }
+
+// A VM that restarts while the platform is down learns its configuration and its
+// targets from its peer.
+func TestVMRestartedWithoutThePlatformServes(t *testing.T) {
+	f := start(t)
+	b := f.Daemons["b"]
+	f.PlatformRelay.SetAll(relay.Refuse)
+	b.Kill()
+	b.Start()
+	b.WaitReady()
+	f.Until(10*time.Second, "b serves", func() bool {
+		_, err := send(b)
+		return err == nil
+	})
+}
