Name JSON fields in snake case, and let jobs be submitted with a key

Cause: a newcomer's read-through. Explanations, accounts, measures, slots and runners went out in Go's field names; a job could carry an Idempotency-Key over HTTP only; `job explain` left out the place and the decisions; /readyz was registered twice.

--- a/internal/cli/jobexplain/jobexplain.go
+++ b/internal/cli/jobexplain/jobexplain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -43,7 +44,11 @@
 	}
 	rows := [][]string{{"state", string(j.State)}, {"reason", j.Reason}}
 	if x := j.Explanation; x != nil {
-		rows = append(rows, []string{"decision", x.Reason}, []string{"held by", strings.Join(x.Holders, ", ")})
+		rows = append(rows, []string{"decision", x.Reason}, []string{"place", strings.Join(x.Place, ", ")},
+			[]string{"held by", strings.Join(x.Holders, ", ")})
+	}
+	for _, d := range j.Decisions {
+		rows = append(rows, []string{time.UnixMilli(d.UnixMS).UTC().Format(time.RFC3339), d.Reason})
 	}
 	return o.Factory.Show(o.Connection, j, factory.Table{Header: []string{"what", "value"}, Rows: rows})
 }
--- a/internal/cli/jobsubmit/jobsubmit.go
+++ b/internal/cli/jobsubmit/jobsubmit.go
@@ -17,6 +17,7 @@
 	Factory    *factory.Factory
 	Connection *factory.Connection
 	Body       caller.JobBody
+	Key        string
 }
 
 // New returns the command.
@@ -29,18 +30,23 @@
 	fs.IntVar(&o.Body.Accelerators, "accelerators", 1, "accelerators of each task")
 	fs.BoolVar(&o.Body.Adjacent, "adjacent", false, "place the tasks on neighbouring workers")
 	fs.Int64Var(&o.Body.DeclaredMS, "declared-ms", 0, "expected run time in milliseconds")
+	fs.StringVar(&o.Key, "key", "", "Idempotency-Key; submitting again with the same key is the same job")
 	fs.Int64Var(&o.Body.RunMS, "run-ms", 0, "run time at stand-in workers in milliseconds; 0 means the expected one")
 	return factory.Command{
 		Noun: "job", Verb: "submit", Short: "Submit a job and print its id",
-		Examples: "  dogwood job submit --account st-anne --kind season_solve --tasks 8 --accelerators 8 --adjacent --declared-ms 3600000",
+		Examples: "  dogwood job submit --account st-anne --kind season_solve --tasks 8 --accelerators 8 --adjacent --declared-ms 3600000 --key season-1204",
 		Flags:    fs,
 		Exec:     func(ctx context.Context, _ []string) error { return run(ctx, o) },
 	}.Build()
 }
 
 func run(ctx context.Context, o *Options) error {
+	header := http.Header{}
+	if o.Key != "" {
+		header.Set(caller.HeaderKey, o.Key)
+	}
 	var a caller.JobAnswer
-	if err := o.Factory.Call(ctx, o.Connection, http.MethodPost, "/v1/jobs", nil, o.Body, &a); err != nil {
+	if err := o.Factory.Call(ctx, o.Connection, http.MethodPost, "/v1/jobs", header, o.Body, &a); err != nil {
 		return err
 	}
 	if o.Connection.JSON.On {
--- a/internal/decide/gang/types.go
+++ b/internal/decide/gang/types.go
@@ -48,10 +48,10 @@
 
 // Slot is the place of one task.
 type Slot struct {
-	Task   int
-	Worker string
+	Task   int    `json:"task"`
+	Worker string `json:"worker"`
 	// Accelerators are indices at the worker, ascending and adjacent.
-	Accelerators []int
+	Accelerators []int `json:"accelerators"`
 }
 
 // OrderKind says what an order does.
@@ -88,44 +88,44 @@
 
 // Explanation says why a job stands where it does.
 type Explanation struct {
-	JobID  string
-	State  string
-	Reason string
+	JobID  string `json:"job_id"`
+	State  string `json:"state"`
+	Reason string `json:"reason"`
 	// Place lists the workers where the job runs, or would fit.
-	Place []string
+	Place []string `json:"place"`
 	// Holders are the jobs that hold the place where the job would fit.
-	Holders []string
+	Holders []string `json:"holders"`
 }
 
 // AccountStatus is what an account holds and can get back.
 type AccountStatus struct {
-	ID string
+	ID string `json:"id"`
 	// Guaranteed is the number of accelerators of the guaranteed shape.
-	Guaranteed int
+	Guaranteed int `json:"guaranteed"`
 	// InUse is the number of accelerators in use within the guarantee.
-	InUse int
+	InUse int `json:"in_use"`
 	// Borrowed is the number of accelerators in use above the guarantee.
-	Borrowed int
+	Borrowed int `json:"borrowed"`
 	// Reclaimable is the number of accelerators of the account's own block
 	// that are free or held by borrowers.
-	Reclaimable int
+	Reclaimable int `json:"reclaimable"`
 	// Shortfall is the number of guaranteed accelerators that no block backs.
-	Shortfall int
+	Shortfall int `json:"shortfall"`
 }
 
 // Measures describe the fleet at one moment.
 type Measures struct {
-	Accelerators int
-	Free         int
-	Waiting      int
-	Running      int
+	Accelerators int `json:"accelerators"`
+	Free         int `json:"free"`
+	Waiting      int `json:"waiting"`
+	Running      int `json:"running"`
 	// Fragmentation is 1 - covered/free, between 0 and 1: covered is the number
 	// of free accelerators in guaranteed shapes that can be placed together.
-	Fragmentation float64
+	Fragmentation float64 `json:"fragmentation"`
 	// Steps counts the workers, racks and jobs that the decisions looked at
 	// since the state was made.
-	Steps int64
+	Steps int64 `json:"steps"`
 	// Quarantined is the number of workers that get no work because starts
 	// failed on them.
-	Quarantined int
+	Quarantined int `json:"quarantined"`
 }
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -6,24 +6,24 @@
 
 // Runner is what the choice knows of a runner.
 type Runner struct {
-	ID         string
-	Service    string
-	DataCentre string
-	Region     string
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
 	// Limit is the number of requests that this VM may have there at once.
-	Limit int
+	Limit int `json:"limit"`
 	// InUse is the number of requests that this VM has there.
-	InUse int
+	InUse int `json:"in_use"`
 	// Leaving and Ejected runners get no new work.
-	Leaving bool
-	Ejected bool
+	Leaving bool `json:"leaving"`
+	Ejected bool `json:"ejected"`
 	// Cordoned runners get no new work while an exception of the
 	// configuration says so.
-	Cordoned bool
+	Cordoned bool `json:"cordoned"`
 	// Probe is set on an ejected runner that may get one request as a probe.
-	Probe bool
+	Probe bool `json:"probe"`
 	// Suspect runners get work only when no other has room.
-	Suspect bool
+	Suspect bool `json:"suspect"`
 }
 
 // Place is where a VM stands.
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -104,7 +104,6 @@
 
 // Register adds the callers' paths.
 func (s *Server) Register(e *echo.Echo) {
-	e.GET("/readyz", s.ready)
 	e.POST("/v1/requests", s.request)
 	e.POST("/v1/jobs", s.submitJob)
 	e.GET("/v1/jobs", s.listJobs)
@@ -112,13 +111,6 @@
 	e.POST("/v1/jobs/:id/cancel", s.cancelJob)
 }
 
-func (s *Server) ready(c echo.Context) error {
-	if !s.Ready() {
-		return fault.New(fault.NotReady, "this VM takes no new work")
-	}
-	return c.NoContent(http.StatusNoContent)
-}
-
 func (s *Server) request(c echo.Context) error {
 	if !s.Loaded() {
 		return fault.New(fault.NotReady, "this VM has no configuration yet")
