Count an unchanged report without parts as unchanged

Cause: a worker that holds nothing reports no parts; the planner took its unchanged answer for a changed one and called it again at once. A checkpoint, too, cost a second call, since it changes the report.

Ruled out: the spacing of renewals (a third of the lease applies here).

Change: what was known is told by the parts that were renewed, and any other call to a worker makes the next renewal name its parts.

--- a/internal/control/planner/member.go
+++ b/internal/control/planner/member.go
@@ -155,6 +155,8 @@
 	var c *worker.Client
 	if ok {
 		c = m.client
+		// The call may change the worker's report.
+		m.known = ""
 	}
 	t.mu.Unlock()
 	if !ok {
--- a/internal/control/planner/renew.go
+++ b/internal/control/planner/renew.go
@@ -134,7 +134,8 @@
 // remember keeps a report for the next renewal and returns it whole. A worker
 // whose report had changed renewed nothing and is called again at once.
 func (m *member) remember(in worker.RenewRequest, parts []worker.Part, s worker.Status) worker.Status {
-	if s.Unchanged && m.reported != nil {
+	if s.Unchanged && m.knownParts != nil {
+		m.known = in.Known
 		s.Parts = m.reported
 		return s
 	}
--- a/internal/control/planner/renew_test.go
+++ b/internal/control/planner/renew_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -46,3 +47,17 @@
 	m.forget = []worker.Part{{JobID: "ended"}}
 	is.Equal(m.renewal(both).Parts, both)
 }
+
+// A worker without parts is renewed by one call too.
+func TestUnchangedReportWithoutPartsIsKept(t *testing.T) {
+	is := is.New(t)
+	m := &member{}
+	in := m.renewal(nil)
+	m.remember(in, nil, status("d1"))
+	in = m.renewal(nil)
+	is.Equal(in.Known, "d1")
+	m.due = time.Unix(1, 0)
+	m.remember(in, nil, worker.Status{Digest: "d1", Unchanged: true})
+	is.Equal(m.due, time.Unix(1, 0)) // Not called again at once.
+	is.Equal(m.renewal(nil).Known, "d1")
+}
