--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,10 +93,7 @@
 // transport returns a transport whose connections come from the IP address of
 // the peer listener, so that the others see one address per VM.
 func transport(peers string) *http.Transport {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	if ap, err := netip.ParseAddrPort(peers); err == nil && !ap.Addr().IsUnspecified() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
-	}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: sourceAddress(peers)}
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: jsonhttp.DefaultIdleTimeout}
 }
 
