--- /dev/null
+++ b/internal/cli/accountlist/accountlist.go
@@ -0,0 +1,40 @@
+// Package accountlist is the command "dogwood account list".
+package accountlist
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/factory"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
+)
+
+// Options are the flags and arguments of the command.
+type Options struct {
+	Factory    *factory.Factory
+	Connection *factory.Connection
+}
+
+// New returns the command.
+func New(f *factory.Factory) *ffcli.Command {
+	fs := f.Flags("dogwood account list")
+	o := &Options{Factory: f, Connection: f.OperatorFlags(fs)}
+	return factory.Command{
+		Noun: "account", Verb: "list", Args: "", Short: "List the client accounts with their guarantees and use",
+		Examples: "  dogwood account list",
+		Flags:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			return run(ctx, o)
+		},
+	}.Build()
+}
+
+func run(ctx context.Context, o *Options) error {
+	var a operator.AccountsAnswer
+	if err := o.Factory.Call(ctx, o.Connection, http.MethodGet, "/v1/accounts", nil, nil, &a); err != nil {
+		return err
+	}
+	return o.Factory.Show(o.Connection, a, factory.AccountTable(a.Accounts...))
+}
--- a/internal/cli/configapply/configapply.go
+++ b/internal/cli/configapply/configapply.go
@@ -19,7 +19,8 @@
 	Factory    *factory.Factory
 	Connection *factory.Connection
 	Edit       config.Edit
-	File       string
+	// Wait bounds the time to wait until the version is in force; 0 waits not.
+	Wait Wait
 }
 
 // New returns the command.
@@ -29,33 +30,49 @@
 	fs.Uint64Var(&o.Edit.BaseVersion, "base", 0, "version that the file was made from")
 	fs.StringVar(&o.Edit.Author, "author", f.Getenv("USER"), "who makes the change")
 	fs.StringVar(&o.Edit.Reason, "reason", "", "why the change is made")
+	fs.StringVar(&o.Edit.EditID, "edit-id", "", "id of an earlier try of the same edit, whose outcome was unknown")
+	fs.Var(&o.Wait, "wait", "wait until every VM that can be reached has the version; --wait=DURATION bounds the wait, 10s without one")
 	return factory.Command{
 		Noun: "config", Verb: "apply", Args: "FILE", Short: "Apply a configuration",
-		Examples: "  dogwood config apply --base 12 --reason 'festival week' fleet.toml",
-		Flags:    fs,
+		Examples: "  dogwood config apply --base 12 --reason 'festival week' --wait fleet.toml\n" +
+			"  dogwood config view >fleet.toml  # its first line names the base",
+		Flags: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return fault.WithField(fault.BadRequest, "FILE", "give exactly one file")
-			}
-			o.File = args[0]
+			o.Edit.File = args[0]
 			return run(ctx, o)
 		},
 	}.Build()
 }
 
 func run(ctx context.Context, o *Options) error {
-	b, err := o.Factory.ReadFile(o.File)
+	b, err := o.Factory.ReadFile(o.Edit.File)
 	if err != nil {
 		return fault.Wrap(fault.BadRequest, err, "read the configuration")
 	}
-	o.Edit.TOML, o.Edit.EditID = string(b), uuid.NewString()
+	o.Edit.TOML = string(b)
+	if o.Edit.EditID == "" {
+		o.Edit.EditID = uuid.NewString()
+	}
 	var h config.Head
 	if err := o.Factory.Call(ctx, o.Connection, http.MethodPost, "/v1/config", nil, o.Edit, &h); err != nil {
-		return err
+		return o.retryHint(err)
+	}
+	if o.Wait > 0 {
+		if err := wait(ctx, o, h.Version); err != nil {
+			return err
+		}
 	}
-	if o.Connection.JSON {
-		return o.Factory.PrintJSON(h)
+	if o.Connection.JSON.On {
+		return o.Factory.PrintJSON(o.Connection.JSON, h)
 	}
 	_, err = fmt.Fprintf(o.Factory.Out, "version %d\n", h.Version)
 	return err
 }
+
+// retryHint tells how to send an edit again whose outcome is unknown.
+func (o *Options) retryHint(err error) error {
+	if fault.Lookup(fault.KindOf(err)).Outcome == fault.Unknown {
+		_, _ = fmt.Fprintf(o.Factory.Err, "the edit may have been accepted; to send it again: --edit-id %s\n", o.Edit.EditID)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cli/configapply/wait.go
@@ -0,0 +1,75 @@
+package configapply
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/entry/operator"
+)
+
+// Wait is the value of the flag --wait.
+type Wait time.Duration
+
+const (
+	// DefaultWait is the time in which a version is in force everywhere.
+	DefaultWait  = 10 * time.Second
+	pollInterval = 200 * time.Millisecond
+)
+
+// String returns the flag's value.
+func (w *Wait) String() string { return time.Duration(*w).String() }
+
+// IsBoolFlag says that the flag needs no value.
+func (w *Wait) IsBoolFlag() bool { return true }
+
+// Set takes true, false or a duration.
+func (w *Wait) Set(v string) error {
+	switch v {
+	case "true":
+		*w = Wait(DefaultWait)
+	case "false":
+		*w = 0
+	default:
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return fmt.Errorf("accepted: a duration with its unit, such as 10s")
+		}
+		*w = Wait(d)
+	}
+	return nil
+}
+
+// wait returns when every VM that can be reached reports a version. It names
+// those that cannot be reached, and fails when the others take too long.
+func wait(ctx context.Context, o *Options, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.Wait))
+	defer cancel()
+	var s operator.Spread
+	for {
+		err := o.Factory.Call(ctx, o.Connection, http.MethodGet, fmt.Sprintf("/v1/config/spread?version=%d", version), nil, nil, &s)
+		if err == nil && len(s.Behind) == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.NotInForce, "version %d was accepted; not in force on %s", version, names(s))
+		case <-time.After(pollInterval):
+		}
+	}
+	if len(s.Unreachable) > 0 {
+		_, _ = fmt.Fprintf(o.Factory.Err, "cannot be reached: %s\n", strings.Join(s.Unreachable, ", "))
+	}
+	return nil
+}
+
+func names(s operator.Spread) string {
+	all := append(append([]string(nil), s.Behind...), s.Unreachable...)
+	if len(all) == 0 {
+		return "VMs that could not be asked"
+	}
+	return strings.Join(all, ", ")
+}
--- a/internal/cli/factory/factory.go
+++ b/internal/cli/factory/factory.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -40,7 +38,7 @@
 	// reached the one before.
 	Addresses string
 	TokenFile string
-	JSON      bool
+	JSON      JSON
 	operator  bool
 }
 
@@ -54,7 +52,7 @@
 func (f *Factory) CallerFlags(fs *flag.FlagSet) *Connection {
 	c := &Connection{}
 	fs.StringVar(&c.Addresses, "address", f.env("DOGWOOD_ADDRESS", DefaultCallerAddress), "callers' `addresses` of the daemons, separated by commas (DOGWOOD_ADDRESS)")
-	fs.BoolVar(&c.JSON, "json", false, "print JSON")
+	fs.Var(&c.JSON, "json", "print JSON; --json=FIELD,... prints just these fields")
 	return c
 }
 
@@ -63,7 +61,7 @@
 	c := &Connection{operator: true}
 	fs.StringVar(&c.Addresses, "operator-address", f.env("DOGWOOD_OPERATOR_ADDRESS", DefaultOperatorAddress), "operators' `addresses` of the daemons, separated by commas (DOGWOOD_OPERATOR_ADDRESS)")
 	fs.StringVar(&c.TokenFile, "token-file", f.env("DOGWOOD_TOKEN_FILE", ""), "`file` with the operators' token (DOGWOOD_TOKEN_FILE)")
-	fs.BoolVar(&c.JSON, "json", false, "print JSON")
+	fs.Var(&c.JSON, "json", "print JSON; --json=FIELD,... prints just these fields")
 	return c
 }
 
@@ -103,33 +101,19 @@
 	if err != nil {
 		return "", fault.Wrap(fault.Unauthorized, err, "read the token")
 	}
-	return strings.TrimSpace(string(b)), nil
-}
-
-// PrintJSON prints a value as indented JSON.
-func (f *Factory) PrintJSON(v any) error {
-	e := json.NewEncoder(f.Out)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
+	token := strings.TrimSpace(string(b))
+	if token == "" || strings.ContainsFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", fault.WithField(fault.Unauthorized, "--token-file", "%s holds no token; accepted: one word of printable ASCII", c.TokenFile)
+	}
+	return token, nil
 }
 
-// PrintTable prints rows under a header on a terminal, and tab-separated
-// without a header elsewhere.
-func (f *Factory) PrintTable(header []string, rows [][]string) error {
-	if !f.Terminal {
-		for _, row := range rows {
-			if _, err := fmt.Fprintln(f.Out, strings.Join(row, "\t")); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	w := tabwriter.NewWriter(f.Out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, strings.ToUpper(strings.Join(header, "\t")))
-	for _, row := range rows {
-		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+// Show prints a value as JSON when the flag asks for it, else as a table.
+func (f *Factory) Show(c *Connection, v any, t Table) error {
+	if c.JSON.On {
+		return f.PrintJSON(c.JSON, v)
 	}
-	return w.Flush()
+	return f.printTable(t)
 }
 
 // Command describes one command.
@@ -144,14 +128,49 @@
 	Exec     func(ctx context.Context, args []string) error
 }
 
-// Build returns the command for the command line.
+// Build returns the command for the command line. Flags may stand after
+// arguments; what follows "--" is never a flag.
 func (c Command) Build() *ffcli.Command {
 	usage := strings.TrimSpace(fmt.Sprintf("dogwood %s %s [flags] %s", c.Noun, c.Verb, c.Args))
 	return &ffcli.Command{
 		Name: c.Verb, ShortUsage: usage, ShortHelp: c.Short,
 		LongHelp: c.Short + ".\n\nEXAMPLES\n" + c.Examples,
-		FlagSet:  c.Flags, Exec: c.Exec,
+		FlagSet:  c.Flags,
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := c.arguments(args)
+			if err != nil {
+				return err
+			}
+			return c.Exec(ctx, args)
+		},
+	}
+}
+
+// arguments parses the flags that stand after the first argument and returns
+// the arguments, as many as the command names.
+func (c Command) arguments(args []string) ([]string, error) {
+	var all []string
+	for len(args) > 0 {
+		// The first one is an argument: the flags before it are parsed.
+		all, args = append(all, args[0]), args[1:]
+		if len(args) > 0 && len(args[0]) > 1 && args[0][0] == '-' {
+			if err := c.Flags.Parse(args); err != nil {
+				return nil, fault.WithField(fault.BadRequest, "flags", "%v", err)
+			}
+			args = c.Flags.Args()
+		}
+	}
+	if want := len(strings.Fields(c.Args)); len(all) != want {
+		return nil, fault.WithField(fault.BadRequest, "arguments", "%d given; accepted: %s", len(all), accepted(c.Args))
+	}
+	return all, nil
+}
+
+func accepted(args string) string {
+	if args == "" {
+		return "none"
 	}
+	return args
 }
 
 // Flags returns an empty flag set that reports errors to the caller.
--- a/internal/cli/fleetstatus/fleetstatus.go
+++ b/internal/cli/fleetstatus/fleetstatus.go
@@ -31,13 +31,10 @@
 }
 
 func run(ctx context.Context, o *Options) error {
-	var fleet operator.Fleet
+	var fleet operator.FleetAnswer
 	if err := o.Factory.Call(ctx, o.Connection, http.MethodGet, "/v1/fleet", nil, nil, &fleet); err != nil {
 		return err
 	}
-	if o.Connection.JSON {
-		return o.Factory.PrintJSON(fleet)
-	}
 	rows := make([][]string, len(fleet.VMs))
 	for i, vm := range fleet.VMs {
 		rows[i] = []string{
@@ -45,5 +42,6 @@
 			strconv.FormatBool(vm.Leaving), strconv.FormatUint(vm.ConfigVersion, 10),
 		}
 	}
-	return o.Factory.PrintTable([]string{"vm", "data centre", "region", "planner", "leaving", "config"}, rows)
+	header := []string{"vm", "data centre", "region", "planner", "leaving", "config"}
+	return o.Factory.Show(o.Connection, fleet, factory.Table{Header: header, Rows: rows})
 }
--- a/internal/cli/joblist/joblist.go
+++ b/internal/cli/joblist/joblist.go
@@ -4,11 +4,11 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/factory"
+	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
 )
 
@@ -24,7 +24,7 @@
 	o := &Options{Factory: f, Connection: f.CallerFlags(fs)}
 	return factory.Command{
 		Noun: "job", Verb: "list", Short: "List the jobs of a data centre",
-		Examples: "  dogwood job list\n  dogwood job list --json",
+		Examples: "  dogwood job list\n  dogwood job list --json=id,state",
 		Flags:    fs,
 		Exec:     func(ctx context.Context, _ []string) error { return run(ctx, o) },
 	}.Build()
@@ -35,15 +35,9 @@
 	if err := o.Factory.Call(ctx, o.Connection, http.MethodGet, "/v1/jobs", nil, nil, &list); err != nil {
 		return err
 	}
-	if o.Connection.JSON {
-		return o.Factory.PrintJSON(list)
-	}
-	rows := make([][]string, len(list.Jobs))
+	jobs := make([]job.Record, len(list.Jobs))
 	for i, j := range list.Jobs {
-		rows[i] = []string{
-			j.ID, j.Account, j.Kind, strconv.Itoa(j.Tasks) + "x" + strconv.Itoa(j.Accelerators),
-			string(j.State), strconv.Itoa(j.Attempts), j.Reason,
-		}
+		jobs[i] = j.Record
 	}
-	return o.Factory.PrintTable([]string{"id", "account", "kind", "shape", "state", "attempts", "reason"}, rows)
+	return o.Factory.Show(o.Connection, list, factory.JobTable(jobs...))
 }
--- a/internal/cli/jobsubmit/jobsubmit.go
+++ b/internal/cli/jobsubmit/jobsubmit.go
@@ -43,8 +43,8 @@
 	if err := o.Factory.Call(ctx, o.Connection, http.MethodPost, "/v1/jobs", nil, o.Body, &a); err != nil {
 		return err
 	}
-	if o.Connection.JSON {
-		return o.Factory.PrintJSON(a)
+	if o.Connection.JSON.On {
+		return o.Factory.PrintJSON(o.Connection.JSON, a)
 	}
 	_, err := fmt.Fprintln(o.Factory.Out, a.JobID)
 	return err
--- a/internal/cli/requestsend/requestsend.go
+++ b/internal/cli/requestsend/requestsend.go
@@ -9,7 +9,6 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/factory"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/entry/caller"
 )
 
@@ -37,9 +36,6 @@
 			"  dogwood request send --account counters --kind reprint --key erf-1204 'certificate 1204'",
 		Flags: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return fault.WithField(fault.BadRequest, "PAYLOAD", "give exactly one payload")
-			}
 			o.Body.Payload = []byte(args[0])
 			return run(ctx, o)
 		},
@@ -58,8 +54,8 @@
 	if err := o.Factory.Call(ctx, o.Connection, http.MethodPost, "/v1/requests", header, o.Body, &a); err != nil {
 		return err
 	}
-	if o.Connection.JSON {
-		return o.Factory.PrintJSON(a)
+	if o.Connection.JSON.On {
+		return o.Factory.PrintJSON(o.Connection.JSON, a)
 	}
 	_, err := fmt.Fprintln(o.Factory.Out, string(a.Payload))
 	return err
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -10,12 +10,24 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/accountlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/accountview"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/configapply"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/configcheck"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/configlog"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/configview"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/daemonstatus"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/factory"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/fleetstatus"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/jobcancel"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/jobexplain"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/joblist"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/jobsubmit"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/jobview"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/jobwatch"
 	"github.com/dogwoodworks/dogwoodworks/internal/cli/requestsend"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/targetlist"
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/targetview"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 )
 
@@ -23,9 +35,14 @@
 func New(f *factory.Factory) *ffcli.Command {
 	return group(f, "dogwood", "Send requests, run jobs and operate the fleet",
 		group(f, "request", "Send requests", requestsend.New(f)),
-		group(f, "job", "Submit and follow jobs", jobsubmit.New(f), joblist.New(f)),
-		group(f, "config", "Read and change the configuration", configapply.New(f)),
+		group(f, "job", "Submit and follow jobs",
+			jobsubmit.New(f), joblist.New(f), jobview.New(f), jobwatch.New(f), jobexplain.New(f), jobcancel.New(f)),
+		group(f, "config", "Read and change the configuration",
+			configview.New(f), configcheck.New(f), configapply.New(f), configlog.New(f)),
+		group(f, "target", "Read the state of runners and workers", targetlist.New(f), targetview.New(f)),
+		group(f, "account", "Read the guarantees of client accounts and their use", accountlist.New(f), accountview.New(f)),
 		group(f, "fleet", "Read what the fleet is doing", fleetstatus.New(f)),
+		group(f, "daemon", "Read what one daemon says of itself", daemonstatus.New(f)),
 	)
 }
 
--- a/internal/control/config/document.go
+++ b/internal/control/config/document.go
@@ -100,10 +100,10 @@
 // Scope says where an exception holds. Empty fields hold everywhere; at least
 // one is set.
 type Scope struct {
-	DataCentre string `toml:"data_centre" json:"data_centre,omitempty"`
-	Account    string `toml:"account" json:"account,omitempty"`
-	Target     string `toml:"target" json:"target,omitempty"`
-	Kind       string `toml:"kind" json:"kind,omitempty"`
+	DataCentre string `toml:"data_centre,omitempty" json:"data_centre,omitempty"`
+	Account    string `toml:"account,omitempty" json:"account,omitempty"`
+	Target     string `toml:"target,omitempty" json:"target,omitempty"`
+	Kind       string `toml:"kind,omitempty" json:"kind,omitempty"`
 }
 
 // Exception changes defaults within a scope.
@@ -112,7 +112,7 @@
 	Reason string `toml:"reason" json:"reason"`
 	Scope  Scope  `toml:"scope" json:"scope"`
 	// Expires ends the exception; the zero time means never.
-	Expires time.Time `toml:"expires" json:"expires,omitzero"`
+	Expires time.Time `toml:"expires,omitzero" json:"expires,omitzero"`
 	Set     Overrides `toml:"set" json:"set"`
 }
 
--- a/internal/control/config/keeper.go
+++ b/internal/control/config/keeper.go
@@ -199,6 +199,10 @@
 	// A version that was in force before the read must be in the store.
 	before := k.snapshot().manifest.Header
 	e, found, err := k.KV.Get(ctx, HeadKey)
+	if err == nil && older(e, before) {
+		// The read may have been shared with one that began earlier.
+		e, found, err = k.KV.Get(ctx, HeadKey)
+	}
 	if err != nil {
 		return store.Entry{}, err
 	}
@@ -225,6 +229,12 @@
 	return e, k.accept(ctx, m)
 }
 
+// older reports whether the head of an entry, if any, is older than a version.
+func older(e store.Entry, h Header) bool {
+	m, err := DecodeManifest(e.Value)
+	return h.Version > 0 && (err != nil || m.Version < h.Version)
+}
+
 func (k *Keeper) setRevision(rev uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/core/fault/table.go
+++ b/internal/core/fault/table.go
@@ -38,6 +38,7 @@
 	ClaimedElsewhere Kind = "claimed_elsewhere"
 	ResultNotKept    Kind = "result_not_kept"
 	JobFailed        Kind = "job_failed"
+	NotInForce       Kind = "not_in_force"
 	Internal         Kind = "internal"
 )
 
@@ -104,6 +105,7 @@
 	{ClaimedElsewhere, Unknown, http.StatusConflict, ExitUnknown, false, "unknown_claimed_elsewhere", "ask again with the same Idempotency-Key"},
 	{ResultNotKept, Unknown, http.StatusGone, ExitUnknown, false, "unknown_result_not_kept", "look for the result at the service itself"},
 	{JobFailed, Unknown, http.StatusConflict, ExitUnknown, false, "unknown_job_failed", "see dogwood job explain"},
+	{NotInForce, Unknown, http.StatusAccepted, ExitUnknown, false, "unknown_not_in_force", "see dogwood fleet status"},
 	{Internal, Unknown, http.StatusInternalServerError, ExitUnknown, false, "unknown_internal", "report this with the daemon's log"},
 }
 
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -4,9 +4,7 @@
 import (
 	"context"
 	"crypto/subtle"
-	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,99 +16,8 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/gang"
-	"github.com/dogwoodworks/dogwoodworks/internal/decide/route"
-	"github.com/dogwoodworks/dogwoodworks/internal/platform/vmlist"
 )
 
-// VMStatus is what one VM says of itself or of a peer.
-type VMStatus struct {
-	VMID          string `json:"vm_id"`
-	DataCentre    string `json:"data_centre"`
-	Region        string `json:"region"`
-	Leaving       bool   `json:"leaving"`
-	Planner       bool   `json:"planner"`
-	ConfigVersion uint64 `json:"config_version"`
-}
-
-// Fleet is the status of the fleet as one VM sees it.
-type Fleet struct {
-	VMs      []VMStatus    `json:"vms"`
-	Measures gang.Measures `json:"measures"`
-}
-
-// Targets is the answer to a list of targets.
-type Targets struct {
-	Runners []route.Runner `json:"runners"`
-	Workers []vmlist.VM    `json:"workers"`
-}
-
-// Spread tells how far a version of the configuration has spread.
-type Spread struct {
-	Version uint64 `json:"version"`
-	// InForce and Behind name the VMs that can be reached.
-	InForce []string `json:"in_force"`
-	Behind  []string `json:"behind"`
-	// Unreachable names the listed VMs that were not heard of lately.
-	Unreachable []string `json:"unreachable"`
-}
-
-// Add adds a reachable VM that reports a version.
-func (s *Spread) Add(vm string, version uint64) {
-	if version >= s.Version {
-		s.InForce = append(s.InForce, vm)
-		return
-	}
-	s.Behind = append(s.Behind, vm)
-}
-
-// Status is what a VM says of itself.
-type Status struct {
-	VMID          string `json:"vm_id"`
-	DataCentre    string `json:"data_centre"`
-	Region        string `json:"region"`
-	Incarnation   string `json:"incarnation"`
-	StartedUnixMS int64  `json:"started_unix_ms"`
-	Ready         bool   `json:"ready"`
-	// Lacking says why the VM is not ready; empty when nothing is known.
-	Lacking       string `json:"lacking,omitempty"`
-	Draining      bool   `json:"draining"`
-	Planner       bool   `json:"planner"`
-	ConfigVersion uint64 `json:"config_version"`
-	// Peers is the number of live peers.
-	Peers int `json:"peers"`
-	// Alarms are the alarm counters that are not zero, by name.
-	Alarms []Counter `json:"alarms"`
-}
-
-// Counter is the value of one counter.
-type Counter struct {
-	Name  string `json:"name"`
-	Value int64  `json:"value"`
-}
-
-// Alarms returns the alarm counters that are not zero, sorted by name.
-func Alarms(counters map[string]int64) []Counter {
-	var alarms []Counter
-	for _, name := range slices.Sorted(maps.Keys(counters)) {
-		if strings.HasPrefix(name, "alarm_") && counters[name] != 0 {
-			alarms = append(alarms, Counter{name, counters[name]})
-		}
-	}
-	return alarms
-}
-
-// CheckBody is the body of a check of a configuration.
-type CheckBody struct {
-	// File names the document in messages; empty for none.
-	File string `json:"file,omitempty"`
-	TOML string `json:"toml"`
-}
-
-// Log is the answer to a read of the log of changes, the newest first.
-type Log struct {
-	Changes []config.Change `json:"changes"`
-}
-
 // Configuration edits the configuration.
 type Configuration interface {
 	Current() config.Head
@@ -149,9 +56,9 @@
 	e.GET("/v1/config/log", s.log)
 	e.GET("/v1/config/spread", s.spread)
 	e.GET("/v1/daemon", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Status()) })
-	e.GET("/v1/fleet", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Fleet()) })
-	e.GET("/v1/targets", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Targets()) })
-	e.GET("/v1/accounts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.View.Accounts()) })
+	e.GET("/v1/fleet", func(c echo.Context) error { return c.JSON(http.StatusOK, newFleetAnswer(s.View.Fleet())) })
+	e.GET("/v1/targets", func(c echo.Context) error { return c.JSON(http.StatusOK, newTargetsAnswer(s.View.Targets())) })
+	e.GET("/v1/accounts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.accounts()) })
 }
 
 func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
