--- a/internal/cli/dogwoodd/dogwoodd.go
+++ b/internal/cli/dogwoodd/dogwoodd.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/cli/platform"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/daemon"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/settings"
@@ -51,10 +52,10 @@
 	return &ffcli.Command{
 		Name: "dogwoodd", ShortUsage: "dogwoodd --settings FILE", ShortHelp: "Serve callers, operators and peers",
 		LongHelp: "Serve callers, operators and peers.\n\nEXAMPLES\n  dogwoodd --settings /etc/dogwoodd.toml\n  dogwoodd check --print /etc/dogwoodd.toml",
-		FlagSet:  runFlags, Options: options, Subcommands: []*ffcli.Command{check},
+		FlagSet:  runFlags, Options: options, Subcommands: []*ffcli.Command{check, platform.New(out, errOut, options)},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
-				return fault.WithField(fault.BadSettings, "arguments", "%q is not a command; accepted: check", args[0])
+				return fault.WithField(fault.BadSettings, "arguments", "%q is not a command; accepted: check, platform", args[0])
 			}
 			return o.run(ctx)
 		},
--- a/internal/core/fault/table.go
+++ b/internal/core/fault/table.go
@@ -39,6 +39,8 @@
 	ResultNotKept    Kind = "result_not_kept"
 	JobFailed        Kind = "job_failed"
 	NotInForce       Kind = "not_in_force"
+	Fenced           Kind = "fenced"
+	JobUnknown       Kind = "job_unknown"
 	Internal         Kind = "internal"
 )
 
@@ -106,6 +108,8 @@
 	{ResultNotKept, Unknown, http.StatusGone, ExitUnknown, false, "unknown_result_not_kept", "look for the result at the service itself"},
 	{JobFailed, Unknown, http.StatusConflict, ExitUnknown, false, "unknown_job_failed", "see dogwood job explain"},
 	{NotInForce, Unknown, http.StatusAccepted, ExitUnknown, false, "unknown_not_in_force", "see dogwood fleet status"},
+	{Fenced, NotRun, http.StatusConflict, ExitConflict, false, "refusal_fenced", "another planner has taken over"},
+	{JobUnknown, NotRun, http.StatusGone, ExitNotFound, false, "refusal_job_unknown", "submit the job"},
 	{Internal, Unknown, http.StatusInternalServerError, ExitUnknown, false, "unknown_internal", "report this with the daemon's log"},
 }
 
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -7,6 +7,7 @@
 	"io"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -31,6 +32,17 @@
 	metrics.GetOrRegisterCounter(name, m.registry()).Inc(n)
 }
 
+// sampleSize bounds the values that a histogram keeps.
+const sampleSize = 512
+
+// Time adds a duration to a histogram of milliseconds.
+func (m *Meter) Time(name string, d time.Duration) {
+	h := m.registry().GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
+	})
+	h.(metrics.Histogram).Update(d.Milliseconds())
+}
+
 // Set sets a gauge.
 func (m *Meter) Set(name string, v int64) {
 	metrics.GetOrRegisterGauge(name, m.registry()).Update(v)
@@ -44,7 +56,18 @@
 // Snapshot returns all values by name.
 func (m *Meter) Snapshot() map[string]int64 {
 	all := make(map[string]int64)
-	m.registry().Each(func(name string, x any) { all[name] = value(x) })
+	m.registry().Each(func(name string, x any) {
+		h, ok := x.(metrics.Histogram)
+		if !ok {
+			all[name] = value(x)
+			return
+		}
+		all[name+"_count"] = h.Count()
+		for suffix, v := range map[string]float64{"_ms_p50": 0.5, "_ms_p99": 0.99} {
+			all[name+suffix] = int64(h.Percentile(v))
+		}
+		all[name+"_ms_max"] = h.Max()
+	})
 	return all
 }
 
--- /dev/null
+++ b/internal/decide/order/order.go
@@ -0,0 +1,69 @@
+// Package order decides in which order waiting units of work are served. It is
+// pure: the caller gives the times.
+//
+// The load it answers: more work is offered than the fleet can do, objectives
+// differ from seconds to half a minute, and every class is judged by itself.
+package order
+
+import "sort"
+
+// Unit is a waiting unit of work.
+type Unit struct {
+	// Guaranteed units stand within their account's guarantee.
+	Guaranteed bool
+	// Priority 0 goes first.
+	Priority int
+	// Age is the time since the acceptance, in seconds.
+	Age float64
+	// Due is the time until the objective passes, in seconds; negative after.
+	Due float64
+	// Lost is the time until a completion earns nothing, in seconds.
+	Lost float64
+	// Chain is the work that is still to be done one after the other, in
+	// seconds.
+	Chain float64
+}
+
+// The grades of a unit: whether its job can still meet its objective.
+const (
+	onTime = iota
+	late
+	lost
+)
+
+func (u *Unit) grade() int {
+	switch {
+	case u.Chain <= u.Due:
+		return onTime
+	case u.Chain <= u.Lost:
+		return late
+	}
+	return lost
+}
+
+// before reports whether a is served before b.
+func before(a, b *Unit) bool {
+	if a.Guaranteed != b.Guaranteed {
+		return a.Guaranteed
+	}
+	if (a.Priority == 0) != (b.Priority == 0) {
+		return a.Priority == 0
+	}
+	if ga, gb := a.grade(), b.grade(); ga != gb {
+		return ga < gb
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Due-a.Chain < b.Due-b.Chain
+}
+
+// Sort returns the indices of units in the order in which they are served.
+func Sort(units []Unit) []int {
+	all := make([]int, len(units))
+	for i := range all {
+		all[i] = i
+	}
+	sort.SliceStable(all, func(i, j int) bool { return before(&units[all[i]], &units[all[j]]) })
+	return all
+}
--- /dev/null
+++ b/internal/decide/placement/preempt.go
@@ -0,0 +1,191 @@
+package placement
+
+import (
+	"sort"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+)
+
+// clear claims room for an urgent unit and stops what stands there, where the
+// least work is lost.
+func (p *plan) clear(i int) bool {
+	u := &p.in.Waiting[i]
+	best := p.victims(u, p.all)
+	if u.SameRack && u.Tasks > 1 {
+		best = nil
+		possible := false
+		for _, rack := range p.racks {
+			possible = possible || p.holds(u, rack)
+			if v := p.victims(u, p.byRack[rack]); v != nil && (best == nil || v.loss < best.loss) {
+				best = v
+			}
+		}
+		if best == nil && !possible {
+			best = p.victims(u, p.all)
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, r := range best.units {
+		p.stopped[r] = true
+		p.out.Stops = append(p.out.Stops, r)
+		for _, w := range p.in.Running[r].Workers {
+			p.coming[w] = p.coming[w].Plus(p.in.Running[r].Shape)
+		}
+	}
+	p.take(u, best.workers)
+	p.out.Claims = append(p.out.Claims, Start{Unit: i, Workers: best.workers})
+	return true
+}
+
+// clearing is a way to make room for a unit.
+type clearing struct {
+	workers []int
+	units   []int
+	loss    float64
+	chosen  map[int]bool
+	left    map[int]model.Shape
+}
+
+// yields reports whether a running unit makes room for an urgent one.
+func (p *plan) yields(r int, u *Unit) bool {
+	x := &p.in.Running[r]
+	if x.Stopping || x.Fixed || p.stopped[r] || x.Guaranteed {
+		return false
+	}
+	return !x.Urgent || u.Guaranteed
+}
+
+// victims chooses, task by task, the worker where the least further work is
+// lost.
+func (p *plan) victims(u *Unit, workers []int) *clearing {
+	c := &clearing{chosen: make(map[int]bool), left: make(map[int]model.Shape)}
+	var suited []int
+	for _, w := range workers {
+		if p.suits(u, w) {
+			suited = append(suited, w)
+			c.left[w] = p.coming[w]
+		}
+	}
+	count := make(map[int]int)
+	for len(c.workers) < u.Tasks {
+		best, least := -1, 0.0
+		var units []int
+		for _, w := range suited {
+			if u.PerWorker > 0 && u.Taken[w]+count[w] >= u.PerWorker {
+				continue
+			}
+			more, loss, ok := p.evict(c, u, w)
+			if !ok {
+				continue
+			}
+			loss += p.tightness(c.left[w], w)
+			if best < 0 || loss < least {
+				best, least, units = w, loss, more
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		for _, r := range units {
+			c.chosen[r] = true
+			c.units = append(c.units, r)
+			c.loss += p.in.Running[r].Loss
+			for _, w := range p.in.Running[r].Workers {
+				if s, ok := c.left[w]; ok {
+					c.left[w] = s.Plus(p.in.Running[r].Shape)
+				}
+			}
+		}
+		c.left[best] = c.left[best].Minus(u.Shape)
+		c.workers = append(c.workers, best)
+		count[best]++
+	}
+	return c
+}
+
+// evict returns the units to stop so that one more task fits on a worker, and
+// the work that is lost.
+func (p *plan) evict(c *clearing, u *Unit, w int) (units []int, loss float64, ok bool) {
+	left := c.left[w]
+	if u.Shape.Fits(left) {
+		return nil, 0, true
+	}
+	var able []int
+	seen := make(map[int]bool)
+	for _, r := range p.holders[w] {
+		if !seen[r] && !c.chosen[r] && p.yields(r, u) {
+			able = append(able, r)
+			seen[r] = true
+		}
+	}
+	sort.SliceStable(able, func(a, b int) bool { return p.in.Running[able[a]].Loss < p.in.Running[able[b]].Loss })
+	for _, r := range able {
+		if u.Shape.Fits(left) {
+			break
+		}
+		units = append(units, r)
+		left = left.Plus(p.on(r, w))
+	}
+	if !u.Shape.Fits(left) {
+		return nil, 0, false
+	}
+	// Those that turned out not to be needed stay.
+	kept := units[:0]
+	for k := len(units) - 1; k >= 0; k-- {
+		r := units[k]
+		if less := left.Minus(p.on(r, w)); u.Shape.Fits(less) {
+			left = less
+			continue
+		}
+		kept = append(kept, r)
+		loss += p.in.Running[r].Loss
+	}
+	return kept, loss, true
+}
+
+// on returns what a running unit holds on a worker.
+func (p *plan) on(r, w int) model.Shape {
+	var s model.Shape
+	for _, at := range p.in.Running[r].Workers {
+		if at == w {
+			s = s.Plus(p.in.Running[r].Shape)
+		}
+	}
+	return s
+}
+
+// reserve keeps the workers where a blocked unit is expected to fit first: only
+// units that end before then may still start there.
+func (p *plan) reserve(u *Unit) bool {
+	order := make([]int, 0, len(p.in.Running))
+	for r := range p.in.Running {
+		order = append(order, r)
+	}
+	sort.SliceStable(order, func(a, b int) bool { return p.in.Running[order[a]].EndsIn < p.in.Running[order[b]].EndsIn })
+	later := append([]model.Shape(nil), p.coming...)
+	for k, r := range order {
+		x := &p.in.Running[r]
+		if !x.Stopping && !p.stopped[r] {
+			for _, w := range x.Workers {
+				later[w] = later[w].Plus(x.Shape)
+			}
+		}
+		// Trying after each end is not needed while ends are close together.
+		if k%4 != 3 && k != len(order)-1 {
+			continue
+		}
+		ws := p.find(u, later, false)
+		if ws == nil {
+			continue
+		}
+		for _, w := range ws {
+			if until, ok := p.held[w]; !ok || x.EndsIn < until {
+				p.held[w] = x.EndsIn
+			}
+		}
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/entry/entry.go
@@ -0,0 +1,202 @@
+// Package entry admits jobs and answers for them: it is what callers meet at
+// every VM.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/follow"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+)
+
+// Call is a call of a client.
+type Call struct {
+	Host, Path, Key, Method string
+}
+
+// Target is what a call is about.
+type Target struct {
+	Queue model.Queue
+	// Account is empty for a public queue called without a key.
+	Account string
+	// JobID is empty when the call is about the queue.
+	JobID string
+	// Version is that of the configuration that allowed the call.
+	Version      int64
+	MaxBodyBytes int64
+}
+
+// RetryLater wraps a refusal that may not repeat after a while.
+type RetryLater struct {
+	Err   error
+	After time.Duration
+}
+
+// Error returns the refusal's message.
+func (r *RetryLater) Error() string { return r.Err.Error() }
+
+// Unwrap returns the refusal.
+func (r *RetryLater) Unwrap() error { return r.Err }
+
+// Config gives the operators' configuration.
+type Config interface {
+	Current() *model.Config
+	Age() time.Duration
+	Refresh(ctx context.Context) error
+}
+
+// Planner asks the planner, wherever it is. Its errors mean that the planner
+// could not be asked.
+type Planner interface {
+	Submit(ctx context.Context, id string, record []byte) error
+	Cancel(ctx context.Context, id string) error
+	State(ctx context.Context, id string) (s model.JobState, known bool, err error)
+	Digest(ctx context.Context) (model.Digest, error)
+}
+
+// Desk serves the calls of clients. Its exported fields are set before use.
+type Desk struct {
+	Config  Config
+	Store   path.Access
+	Planner Planner
+	Log     *slog.Logger
+	Meter   *meter.Meter
+
+	mu     sync.Mutex
+	digest model.Digest
+	// digestAt is when the digest was asked for; zero before.
+	digestAt time.Time
+	asking   chan struct{}
+}
+
+// retryAfter is told to clients when the store or the planner can't be reached.
+const retryAfter = time.Second
+
+// refreshTimeout bounds the reading of the configuration before a refusal.
+const refreshTimeout = 800 * time.Millisecond
+
+// Find returns the queue and job that a call is about. A call is refused only
+// by a configuration that was read just now, as far as the store can be
+// reached.
+func (d *Desk) Find(ctx context.Context, c Call) (Target, error) {
+	t, err := d.find(c)
+	if err == nil || d.Config.Age() < follow.Fresh {
+		return t, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if refreshErr := d.Config.Refresh(ctx); refreshErr != nil {
+		d.Meter.Inc("refusal_by_older_config")
+		d.Log.Warn("refused by a configuration that could not be read again", "host", c.Host, "age_ms", d.Config.Age().Milliseconds(), "error", refreshErr)
+	}
+	return d.find(c)
+}
+
+func (d *Desk) find(c Call) (Target, error) {
+	cfg := d.Config.Current()
+	if cfg == nil {
+		return Target{}, &RetryLater{fault.New(fault.NotReady, "there is no configuration yet"), retryAfter}
+	}
+	q := longest(cfg, c)
+	if q == nil {
+		return Target{}, fault.New(fault.NotFound, "no queue at this host and path (version %d)", cfg.Version)
+	}
+	t := Target{Queue: *q, JobID: strings.TrimPrefix(c.Path, q.Prefix), Version: cfg.Version, MaxBodyBytes: cfg.MaxBodyBytes}
+	a := cfg.AccountOf(c.Key)
+	if a == nil && !q.Public {
+		return Target{}, fault.New(fault.Unauthorized, "the key is not known (version %d)", cfg.Version)
+	}
+	if a != nil {
+		t.Account = a.Name
+	}
+	if t.JobID != "" && !isJobID(t.JobID) {
+		return Target{}, fault.WithField(fault.BadRequest, "id", "a job's id has 16 hexadecimal digits")
+	}
+	return t, nil
+}
+
+func longest(cfg *model.Config, c Call) *model.Queue {
+	var best *model.Queue
+	for i := range cfg.Queues {
+		q := &cfg.Queues[i]
+		if q.Host == c.Host && strings.HasPrefix(c.Path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+const jobIDLength = 16
+
+func isJobID(s string) bool {
+	if len(s) != jobIDLength {
+		return false
+	}
+	for _, r := range s {
+		if (r < '0' || r > '9') && (r < 'a' || r > 'f') && (r < 'A' || r > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	maxSpecification = 4000
+	// maxTasks bounds the tasks of a job's step.
+	maxTasks = 2000
+	maxSteps = 64
+	// maxOccurrences bounds the occurrences of a timed job.
+	maxOccurrences = 10_000
+)
+
+// Check reports what is wrong with a job, whatever the fleet is like.
+func Check(j *model.Job) error {
+	bad := func(field, format string, args ...any) error {
+		return fault.WithField(fault.BadRequest, field, format, args...)
+	}
+	switch {
+	case len(j.Specification) > maxSpecification:
+		return bad("specification", "has %d bytes, at most %d are accepted", len(j.Specification), maxSpecification)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return bad("steps", "%d given, 1 to %d are accepted", len(j.Steps), maxSteps)
+	case j.Occurrences < 0 || j.Occurrences > maxOccurrences:
+		return bad("repetitions", "%d given, 0 to %d are accepted", j.Occurrences, maxOccurrences)
+	case j.Interval < 0:
+		return bad("interval", "is negative")
+	}
+	for i := range j.Steps {
+		if err := checkStep(j, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkStep(j *model.Job, i int) error {
+	s := &j.Steps[i]
+	bad := func(field, format string, args ...any) error {
+		return fault.WithField(fault.BadRequest, fmt.Sprintf("steps[%d].%s", i, field), format, args...)
+	}
+	switch {
+	case s.Tasks < 1 || s.Tasks > maxTasks:
+		return bad("count", "%d given, 1 to %d are accepted", s.Tasks, maxTasks)
+	case s.Shape.MilliCPU < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0:
+		return bad("shape", "is negative")
+	case s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0:
+		return bad("estimate, per_worker or may_miss", "is negative")
+	}
+	for _, k := range s.After {
+		if k < 0 || k >= i {
+			return bad("after", "%d is not an earlier step", k)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/lock/lock.go
@@ -0,0 +1,256 @@
+// Package lock elects the one planner of the fleet by a key of the platform's
+// store that is held under a lease.
+package lock
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+const (
+	// TTL is how long the lock outlives its holder's last renewal: another VM
+	// plans within it after a planner is lost.
+	TTL = 2 * time.Second
+	// margin is kept between the end of the lock as the holder counts it and as
+	// the store does.
+	margin = 200 * time.Millisecond
+	// renewals is the number of renewals in a TTL.
+	renewals = 4
+	// watchWait bounds one watch of the lock; a silent watch is noticed then.
+	watchWait = 3 * time.Second
+	// callTimeout bounds a call for the lock.
+	callTimeout = 600 * time.Millisecond
+	// retryDelay is the pause after a failed call; it is drawn up to twice as
+	// long.
+	retryDelay = 150 * time.Millisecond
+	// maxClaimDelay spreads the attempts of several VMs to take a free lock.
+	maxClaimDelay = 40 * time.Millisecond
+)
+
+// Holder is the value of the lock's key.
+type Holder struct {
+	VMID string `json:"vm_id"`
+	IP   string `json:"ip"`
+	// Incarnation differs for every start of a daemon.
+	Incarnation string `json:"incarnation"`
+	// Revision is the revision in which the lock was taken; 0 for nobody.
+	Revision int64 `json:"-"`
+}
+
+// Term is one holding of the lock.
+type Term struct {
+	// Revision of the lock's key; it rises with every term.
+	Revision int64
+	lock     *Lock
+}
+
+// Valid reports whether the lock is still held for certain.
+func (t Term) Valid() bool { return t.lock.valid(t.Revision) }
+
+// Lock takes part in the election. Its exported fields are set before Run.
+type Lock struct {
+	Store store.Store
+	Self  Holder
+	// Delay is waited before a free lock is taken, so that larger VMs go first.
+	Delay time.Duration
+	Log   *slog.Logger
+	Meter *meter.Meter
+
+	mu         sync.Mutex
+	holder     Holder
+	seen       time.Time
+	term       int64
+	validUntil boottime.Time
+}
+
+// Holder returns who holds the lock as last read, and how old that is.
+func (l *Lock) Holder() (Holder, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder, time.Since(l.seen)
+}
+
+func (l *Lock) valid(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term == revision && boottime.Now() < l.validUntil
+}
+
+func (l *Lock) note(h Holder) {
+	l.mu.Lock()
+	changed := l.holder.Revision != h.Revision
+	l.holder, l.seen = h, time.Now()
+	l.mu.Unlock()
+	if changed {
+		l.Log.Info("planner changed", "planner", h.VMID, "term", h.Revision)
+	}
+}
+
+// Run takes part in the election until ctx ends. It calls lead with each term
+// of this VM; lead returns when its context ends or to give the lock up.
+func (l *Lock) Run(ctx context.Context, lead func(ctx context.Context, t Term)) {
+	for ctx.Err() == nil {
+		it, found, err := l.read(ctx)
+		switch {
+		case err != nil:
+			l.Meter.Inc("lock_read_retry")
+			pause(ctx, retryDelay)
+		case !found:
+			l.claim(ctx, lead)
+		default:
+			l.follow(ctx, it)
+		}
+	}
+}
+
+func (l *Lock) read(ctx context.Context) (store.Item, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.Store.Get(ctx, store.LockKey)
+}
+
+// follow notes the holder and waits until the lock changes.
+func (l *Lock) follow(ctx context.Context, it store.Item) {
+	h := Holder{}
+	if err := json.Unmarshal(it.Value, &h); err != nil {
+		l.Log.Warn("the lock's value can't be read", "revision", it.Revision, "error", err)
+	}
+	h.Revision = it.Created
+	l.note(h)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	if _, _, err := l.Store.Watch(ctx, store.LockKey, it.Revision, watchWait); err != nil {
+		pause(ctx, retryDelay)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d + rand.N(d)):
+	}
+}
+
+// claim tries to take the free lock, and leads while it holds it.
+func (l *Lock) claim(ctx context.Context, lead func(ctx context.Context, t Term)) {
+	pause(ctx, l.Delay+rand.N(maxClaimDelay))
+	if ctx.Err() != nil {
+		return
+	}
+	asked := boottime.Now()
+	lease, ttl, err := l.grant(ctx)
+	if err != nil {
+		l.Meter.Inc("lock_grant_retry")
+		pause(ctx, retryDelay)
+		return
+	}
+	defer l.end(lease)
+	revision, err := l.put(ctx, lease)
+	if err != nil {
+		l.Meter.Inc("lock_claim_" + string(fault.KindOf(err)))
+		if !fault.Is(err, fault.Conflict) {
+			pause(ctx, retryDelay)
+		}
+		return
+	}
+	l.mu.Lock()
+	l.term, l.validUntil = revision, asked.Add(ttl-margin)
+	l.mu.Unlock()
+	h := l.Self
+	h.Revision = revision
+	l.note(h)
+	l.Meter.Inc("lock_taken")
+	l.hold(ctx, lease, ttl, lead)
+}
+
+func (l *Lock) grant(ctx context.Context) (int64, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.Store.Grant(ctx, TTL)
+}
+
+func (l *Lock) put(ctx context.Context, lease int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value, err := json.Marshal(l.Self)
+	if err != nil {
+		return 0, fault.Wrap(fault.Internal, err, "encode the lock")
+	}
+	revision, _, err := l.Store.Apply(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: store.LockKey}},
+		Puts:       []store.Put{{Key: store.LockKey, Value: value, Lease: lease}},
+	})
+	return revision, err
+}
+
+// end gives the lock up; when that can't be told, the lease runs out.
+func (l *Lock) end(lease int64) {
+	l.mu.Lock()
+	l.term = 0
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := l.Store.End(ctx, lease); err != nil {
+		l.Log.Warn("the lock's lease runs out by itself", "lease", lease, "error", err)
+	}
+}
+
+// hold renews the lock and leads, until the lock is lost or given up.
+func (l *Lock) hold(ctx context.Context, lease int64, ttl time.Duration, lead func(ctx context.Context, t Term)) {
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := Term{Revision: l.revision(), lock: l}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(termCtx, t)
+	}()
+	tick := time.NewTicker(ttl / renewals)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+			if !l.renew(termCtx, lease, ttl) {
+				l.Log.Warn("planner lock lost", "term", t.Revision)
+				l.Meter.Inc("lock_lost")
+				cancel()
+				<-done
+				return
+			}
+		}
+	}
+}
+
+func (l *Lock) revision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// renew renews the lease and reports whether the lock is still held.
+func (l *Lock) renew(ctx context.Context, lease int64, ttl time.Duration) bool {
+	asked := boottime.Now()
+	callCtx, cancel := context.WithTimeout(ctx, ttl/renewals)
+	defer cancel()
+	err := l.Store.Keep(callCtx, lease)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.validUntil = max(l.validUntil, asked.Add(ttl-margin))
+		l.seen = time.Now()
+		return true
+	}
+	l.Meter.Inc("lock_renewal_failed")
+	return !fault.Is(err, fault.NotFound) && boottime.Now() < l.validUntil
+}
--- /dev/null
+++ b/internal/fleet/node/node.go
@@ -0,0 +1,276 @@
+// Package node joins the duties of a daemon on the platform: entry,
+// configuration, planner lock, planner and the calls between VMs.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/entry"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/follow"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/nodev1/nodev1connect"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/vm"
+)
+
+// Platform is how the platform is spoken with.
+type Platform struct {
+	Store store.Store
+	// ConfigKey is where the operators write, WorkerPrefix where workers
+	// register.
+	ConfigKey    string
+	WorkerPrefix string
+	DecodeConfig func(b []byte) (*model.Config, error)
+	DecodeWorker func(it store.Item) (model.Worker, error)
+	Dial         func(id, address string) planner.WorkerClient
+	// PeerTransport carries the calls between VMs.
+	PeerTransport http.RoundTripper
+	// ReadinessPath and MetricsPath are served at the addresses of the
+	// settings.
+	ReadinessPath, MetricsPath string
+	// Front serves callers.
+	Front func(e *echo.Echo, d *entry.Desk, n *Node)
+}
+
+// Node is one daemon on the platform.
+type Node struct {
+	Settings model.Settings
+	Platform Platform
+	Log      *slog.Logger
+	Meter    *meter.Meter
+
+	peers    *vm.Peers
+	path     *path.Path
+	follower *follow.Follower
+	lock     *lock.Lock
+	planner  *planner.Planner
+	desk     *entry.Desk
+	front    *echo.Echo
+	stopping atomic.Bool
+	// held counts the calls that are being answered.
+	held atomic.Int64
+}
+
+const (
+	// largeCores is the processor share from which a VM takes a free lock
+	// without delay.
+	largeCores = 0.4
+	// smallDelay is the delay of a VM without a processor; larger ones wait
+	// less, in proportion.
+	smallDelay = 400 * time.Millisecond
+)
+
+// Join joins the duties; it is called once, before Run.
+func (n *Node) Join() {
+	s, p := n.Settings, n.Platform
+	n.peers = &vm.Peers{SelfIP: s.IP, Port: s.PeerPort, HTTP: &http.Client{Transport: p.PeerTransport}}
+	for _, ip := range s.SeedIPs {
+		n.peers.Add(ip)
+	}
+	n.path = &path.Path{Direct: p.Store, Relays: n.peers, Log: n.Log, Meter: n.Meter}
+	n.follower = &follow.Follower{
+		Store: n.path, Key: p.ConfigKey, Decode: p.DecodeConfig, Apply: s.Bounds.ConfigApply, Log: n.Log, Meter: n.Meter,
+	}
+	n.lock = &lock.Lock{
+		Store: p.Store, Self: lock.Holder{VMID: s.VMID, IP: s.IP, Incarnation: uuid.NewString()}, Log: n.Log, Meter: n.Meter,
+	}
+	if s.Cores < largeCores {
+		n.lock.Delay = time.Duration(float64(smallDelay) * (1 - s.Cores/largeCores))
+	}
+	n.planner = &planner.Planner{
+		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
+		Bounds: s.Bounds, Log: n.Log, Meter: n.Meter,
+	}
+	n.desk = &entry.Desk{Config: n.follower, Store: n.path, Planner: &asker{n}, Log: n.Log, Meter: n.Meter}
+}
+
+// Closing reports whether the daemon is stopping as planned.
+func (n *Node) Closing() bool { return n.stopping.Load() }
+
+// aloneLimit is how long a VM reaches neither the store nor a peer before it is
+// not ready.
+const aloneLimit = 1500 * time.Millisecond
+
+// lacking says why the VM takes no new connections; empty when it does.
+func (n *Node) lacking() string {
+	switch {
+	case n.stopping.Load():
+		return "stopping"
+	case n.follower.Current() == nil:
+		return "no configuration"
+	case n.path.Alone(aloneLimit):
+		return "neither the store nor a peer is reached"
+	}
+	return ""
+}
+
+// Run serves until ctx ends, then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	led := make(chan struct{})
+	lockCtx, release := context.WithCancel(duties)
+	defer release()
+	go n.follower.Run(duties)
+	go n.announce(duties)
+	go func() {
+		defer close(led)
+		n.awaitConfig(lockCtx)
+		n.lock.Run(lockCtx, n.planner.Lead)
+	}()
+	n.Log.Info("serving", "vm", n.Settings.VMID, "data_centre", n.Settings.DataCentre, "callers", n.Settings.Callers)
+	<-ctx.Done()
+	n.stop(servers, release, led)
+	return nil
+}
+
+// awaitConfig waits for the first configuration: a planner needs it.
+func (n *Node) awaitConfig(ctx context.Context) {
+	for ctx.Err() == nil && n.follower.Current() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+const (
+	// leaveTime is how long the balancer may still send connections: it asks
+	// once a second and stops after two misses.
+	leaveTime = 2500 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process.
+	stopReserve = time.Second
+	// stopPoll is the time between two looks at the calls in progress.
+	stopPoll = 20 * time.Millisecond
+)
+
+// stop gives the planner lock up, waits until the balancer has noticed and the
+// calls in progress are answered, and closes the listeners.
+func (n *Node) stop(servers []*http.Server, release func(), led chan struct{}) {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.Log.Info("stopping", "calls", n.held.Load())
+	release()
+	last := began.Add(max(n.Settings.Bounds.Grace-stopReserve, leaveTime))
+	for time.Now().Before(last) {
+		if time.Since(began) >= leaveTime && n.held.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(last), stopReserve/2))
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			n.Log.Warn("a listener did not close in time", "error", err)
+		}
+	}
+	select {
+	case <-led:
+	case <-ctx.Done():
+	}
+	n.Log.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "calls", n.held.Load())
+}
+
+// count counts the calls that are being answered.
+func (n *Node) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.held.Add(1)
+		defer n.held.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+const (
+	// headerTimeout bounds the time to read a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the time that a connection waits for a request.
+	idleTimeout = 60 * time.Second
+	maxHeader   = 16 << 10
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+}
+
+// listen opens the listeners: callers, peers, readiness and metrics.
+func (n *Node) listen() ([]*http.Server, error) {
+	n.front = echo.New()
+	n.front.HideBanner, n.front.HidePort = true, true
+	n.Platform.Front(n.front, n.desk, n)
+	peers := http.NewServeMux()
+	peers.Handle(nodev1connect.NewNodeServiceHandler(&vm.Service{Planner: n.planner, Direct: n.Platform.Store, Holder: n.lock.Holder}))
+	ready := http.NewServeMux()
+	ready.HandleFunc(n.Platform.ReadinessPath, n.serveReadiness)
+	counters := http.NewServeMux()
+	counters.HandleFunc(n.Platform.MetricsPath, n.serveMetrics)
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.Settings.Callers, n.count(n.front)},
+		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers},
+		{n.Settings.Readiness, ready},
+		{n.Settings.Metrics, counters},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", l.address)
+		}
+		s := newServer(l.handler)
+		servers = append(servers, s)
+		go func() {
+			if err := s.Serve(listener); err != nil && !n.stopping.Load() {
+				n.Log.Error("a listener failed", "address", l.address, "error", err)
+			}
+		}()
+	}
+	return servers, nil
+}
+
+func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	reason := n.lacking()
+	if reason == "" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	n.Meter.Inc("not_ready_answered")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	if err := n.Meter.WriteText(w); err != nil {
+		n.Log.Debug("counters not sent", "error", err)
+	}
+}
+
+// Reload takes new settings as far as a running daemon can: the addresses of
+// other VMs. Its own listeners and the store's address change with a restart.
+func (n *Node) Reload(s model.Settings) {
+	for _, ip := range s.SeedIPs {
+		n.peers.Add(ip)
+	}
+	if s.Callers != n.Settings.Callers || s.StoreAddress != n.Settings.StoreAddress {
+		n.Log.Warn("settings that need a restart have changed", "callers", s.Callers, "store", s.StoreAddress)
+	}
+}
--- /dev/null
+++ b/internal/fleet/path/path.go
@@ -0,0 +1,170 @@
+// Package path reaches the platform's store directly, or through a peer while
+// the store turns this VM away.
+package path
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+const (
+	// directTimeout bounds a direct call. A store that is 60 times slower than
+	// its 4 ms still answers in time.
+	directTimeout = 700 * time.Millisecond
+	// relayTimeout bounds a call through a peer, which makes a direct call.
+	relayTimeout = 900 * time.Millisecond
+	// shunTime is how long peers are asked first after a direct call failed.
+	shunTime = 700 * time.Millisecond
+	// maxRelays bounds the peers that are asked for one call.
+	maxRelays = 2
+)
+
+// Access is what the entry duties use of the store.
+type Access interface {
+	Get(ctx context.Context, key string) (store.Item, bool, error)
+	Range(ctx context.Context, prefix string) ([]store.Item, int64, error)
+	Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error)
+}
+
+// Relays lists the peers that can be asked, the likeliest first.
+type Relays interface {
+	Relays() []Access
+}
+
+// Path is the way to the store. Its exported fields are set before use.
+type Path struct {
+	Direct Access
+	Relays Relays
+	Log    *slog.Logger
+	Meter  *meter.Meter
+
+	mu        sync.Mutex
+	shunUntil time.Time
+	// lastDirect and lastRelay are when a call last succeeded each way.
+	lastDirect, lastRelay time.Time
+	// failing says that the last direct call failed.
+	failing bool
+	// alone says that no peer answered when the direct way last failed.
+	alone bool
+}
+
+// Get reads a key.
+func (p *Path) Get(ctx context.Context, key string) (it store.Item, found bool, err error) {
+	err = p.do(ctx, true, func(ctx context.Context, a Access) error {
+		var err error
+		it, found, err = a.Get(ctx, key)
+		return err
+	})
+	return it, found, err
+}
+
+// Range reads the keys below a prefix.
+func (p *Path) Range(ctx context.Context, prefix string) (items []store.Item, at int64, err error) {
+	err = p.do(ctx, true, func(ctx context.Context, a Access) error {
+		var err error
+		items, at, err = a.Range(ctx, prefix)
+		return err
+	})
+	return items, at, err
+}
+
+// Apply makes a change. After an unanswered attempt it returns AnswerLost; the
+// next call takes another way.
+func (p *Path) Apply(ctx context.Context, t store.Txn) (revision int64, current []store.Item, err error) {
+	err = p.do(ctx, false, func(ctx context.Context, a Access) error {
+		var err error
+		revision, current, err = a.Apply(ctx, t)
+		return err
+	})
+	return revision, current, err
+}
+
+// answered reports whether the store itself answered.
+func answered(err error) bool {
+	return err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) || fault.Is(err, fault.RetryHorizon)
+}
+
+// do tries the direct way and then peers, or the other way round after a
+// failure. A call that may have been carried out is not made again here.
+func (p *Path) do(ctx context.Context, read bool, call func(ctx context.Context, a Access) error) error {
+	shun := p.shunned()
+	if !shun {
+		if err := p.direct(ctx, call); answered(err) || !read && !fault.Is(err, fault.StoreUnavailable) {
+			return err
+		}
+	}
+	err := p.relay(ctx, read, call)
+	if shun && err != nil && fault.Is(err, fault.StoreUnavailable) && ctx.Err() == nil {
+		return p.direct(ctx, call)
+	}
+	return err
+}
+
+func (p *Path) shunned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.shunUntil)
+}
+
+func (p *Path) direct(ctx context.Context, call func(ctx context.Context, a Access) error) error {
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	err := call(ctx, p.Direct)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered(err) {
+		if p.failing {
+			p.Log.Info("store reached again")
+		}
+		p.lastDirect, p.failing, p.shunUntil = time.Now(), false, time.Time{}
+		return err
+	}
+	if !p.failing {
+		p.Log.Warn("store not reached", "error", err)
+	}
+	p.failing = true
+	p.shunUntil = time.Now().Add(shunTime)
+	return err
+}
+
+func (p *Path) relay(ctx context.Context, read bool, call func(ctx context.Context, a Access) error) error {
+	var last error = fault.New(fault.StoreUnavailable, "neither the store nor a peer is reached")
+	spoke := false
+	for i, a := range p.Relays.Relays() {
+		if i >= maxRelays || ctx.Err() != nil {
+			break
+		}
+		p.Meter.Inc("store_relayed")
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		err := call(callCtx, a)
+		cancel()
+		if answered(err) {
+			p.mu.Lock()
+			p.lastRelay, p.alone = time.Now(), false
+			p.mu.Unlock()
+			return err
+		}
+		if !read && !fault.Is(err, fault.StoreUnavailable) {
+			return err
+		}
+		spoke = spoke || !fault.Is(err, fault.Unreachable)
+		last = err
+	}
+	p.mu.Lock()
+	p.alone = !spoke
+	p.mu.Unlock()
+	return fault.Wrap(fault.StoreUnavailable, last, "relay")
+}
+
+// Alone reports whether neither the store nor any peer was reached for a while.
+func (p *Path) Alone(limit time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failing && p.alone && time.Since(p.lastDirect) > limit && time.Since(p.lastRelay) > limit
+}
--- /dev/null
+++ b/internal/fleet/planner/commit.go
@@ -0,0 +1,238 @@
+package planner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+const (
+	// batchJobs is the number of jobs whose records fit in one transaction: each
+	// needs two conditions and a put, besides the condition on the lock.
+	batchJobs = (store.MaxTxnEntries - 1) / 3
+	// commitTimeout bounds one attempt of a write.
+	commitTimeout = 600 * time.Millisecond
+	// commitRetry is the pause between two attempts.
+	commitRetry = 60 * time.Millisecond
+)
+
+// batch is one write of the planner.
+type batch struct {
+	txn  store.Txn
+	rows []batchRow
+	// seen holds the ends that are kept once the write is; nil when other
+	// changes are left for the next one.
+	seen map[*worker]int64
+}
+
+// batchRow is one job of a batch.
+type batchRow struct {
+	job   *job
+	value []byte
+	state model.JobState
+	// starts are the members that may start once the write is kept.
+	starts []*member
+}
+
+// touch marks the record of a job to be written.
+func (t *term) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		t.behind = append(t.behind, j)
+	}
+}
+
+// batch returns the next write, nil for none.
+func (t *term) batch() *batch {
+	if time.Now().Before(t.keepAfter) {
+		return nil
+	}
+	b := &batch{txn: store.Txn{Conditions: []store.Condition{{Key: store.LockKey, Revision: t.revision}}}}
+	n := min(len(t.behind), batchJobs)
+	for _, j := range t.behind[:n] {
+		t.addRow(b, j)
+	}
+	t.behind = append([]*job(nil), t.behind[n:]...)
+	if len(t.behind) == 0 {
+		b.seen = t.unkept()
+	}
+	if len(b.rows) > 0 {
+		return b
+	}
+	t.keepEnds(b.seen)
+	return nil
+}
+
+func (t *term) addRow(b *batch, j *job) {
+	row := batchRow{job: j, state: j.state, value: j.encode()}
+	for _, u := range j.order {
+		for _, m := range u.members {
+			if !m.sent {
+				row.starts = append(row.starts, m)
+			}
+		}
+	}
+	j.dirty = false
+	b.rows = append(b.rows, row)
+	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
+	if len(row.starts) > 0 || row.state == model.Completed {
+		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.CancelKey(j.id)})
+	}
+	b.txn.Puts = append(b.txn.Puts, store.Put{Key: store.RunKey(j.id), Value: row.value})
+}
+
+// encode returns the record of a job.
+func (j *job) encode() []byte {
+	r := RunRecord{State: j.state, EndedMS: j.endedMS, Begun: j.begun}
+	for _, u := range j.order {
+		x := UnitRecord{
+			Occurrence: u.key.occurrence, Step: u.key.step, Index: u.key.index,
+			Run: u.run, Failures: u.failures, Saved: u.saved, Done: u.done,
+		}
+		for _, m := range u.members {
+			x.Places = append(x.Places, PlaceRecord{Index: m.index, Worker: m.worker, Born: m.born, Token: m.token})
+		}
+		if u.run > 0 {
+			r.Units = append(r.Units, x)
+		}
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		// The record holds numbers and texts only.
+		panic("planner: " + err.Error())
+	}
+	return b
+}
+
+// unkept returns the ends that were taken in and are not kept yet.
+func (t *term) unkept() map[*worker]int64 {
+	seen := make(map[*worker]int64)
+	for _, w := range t.workers {
+		if w.seen > w.kept {
+			seen[w] = w.seen
+		}
+	}
+	return seen
+}
+
+// keepEnds lets the workers forget the ends that are kept.
+func (t *term) keepEnds(seen map[*worker]int64) {
+	for w, n := range seen {
+		// A new life numbers its ends anew.
+		if w.seen < n {
+			continue
+		}
+		w.kept = n
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// commit makes a write. While it is not known whether an attempt was carried
+// out, the same write is made again: its conditions hold once only.
+func (t *term) commit(b *batch) error {
+	began := time.Now()
+	unanswered := false
+	for {
+		if !t.valid() {
+			return fault.New(fault.Fenced, "the lock is not held any more")
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
+		revision, current, err := t.p.Store.Apply(ctx, b.txn)
+		cancel()
+		switch {
+		case err == nil:
+			t.p.Meter.Time("commit_time", time.Since(began))
+			b.keep(revision)
+			return nil
+		case fault.Is(err, fault.Conflict):
+			return t.conflict(b, current)
+		case !unanswered && fault.Is(err, fault.StoreUnavailable):
+			return err
+		}
+		t.p.Meter.Inc("commit_retry_" + string(fault.KindOf(err)))
+		unanswered = unanswered || fault.Is(err, fault.AnswerLost)
+		if t.ctx.Err() != nil {
+			return err
+		}
+		pause(t.ctx, commitRetry)
+	}
+}
+
+func (b *batch) keep(revision int64) {
+	for _, row := range b.rows {
+		row.job.revision = revision
+	}
+}
+
+// conflict finds out why a condition did not hold.
+func (t *term) conflict(b *batch, current []store.Item) error {
+	items := make(map[string]store.Item, len(current))
+	for _, it := range current {
+		items[it.Key] = it
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// The write happens as a whole: when one record is as written, all are.
+	if it, ok := items[store.RunKey(b.rows[0].job.id)]; ok && it.Revision != b.rows[0].job.revision && bytes.Equal(it.Value, b.rows[0].value) {
+		b.keep(it.Revision)
+		return nil
+	}
+	if items[store.LockKey].Revision != t.revision {
+		return fault.New(fault.Fenced, "another planner holds the lock")
+	}
+	cancelled := false
+	for _, row := range b.rows {
+		if _, ok := items[store.CancelKey(row.job.id)]; ok && !row.job.cancelled {
+			t.takeCancel(row.job.id, "condition")
+			cancelled = true
+		}
+	}
+	if !cancelled {
+		return fault.New(fault.Fenced, "a run record was written by another")
+	}
+	return fault.New(fault.Conflict, "a job was cancelled")
+}
+
+// committed takes in the outcome of a write.
+func (t *term) committed(b *batch, err error) {
+	if err == nil {
+		for _, row := range b.rows {
+			t.keptRow(row)
+		}
+		t.keepEnds(b.seen)
+		return
+	}
+	t.p.Meter.Inc("commit_" + string(fault.KindOf(err)))
+	for _, row := range b.rows {
+		t.touch(row.job)
+	}
+	switch {
+	case fault.Is(err, fault.Conflict):
+	case fault.Is(err, fault.StoreUnavailable):
+		t.keepAfter = time.Now().Add(retryPause)
+	default:
+		t.p.Log.Warn("planner write failed", "term", t.revision, "jobs", len(b.rows), "error", err)
+		t.fail("a write failed: " + err.Error())
+	}
+}
+
+// keptRow starts what was placed, and shows the end of a job.
+func (t *term) keptRow(row batchRow) {
+	j := row.job
+	if row.state != "" && j.state == row.state {
+		j.kept = true
+	}
+	for _, m := range row.starts {
+		if !m.gone && !m.sent {
+			t.start(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/planner/orders.go
@@ -0,0 +1,174 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+const (
+	// orderTimeout bounds one attempt of a start or a stop.
+	orderTimeout = 350 * time.Millisecond
+	// startWindow is how long a start may take effect: an order that is carried
+	// out later comes late at the worker.
+	startWindow = 1500 * time.Millisecond
+	// startTime bounds the attempts of a start.
+	startTime = 1300 * time.Millisecond
+	// stopRetry is the time after which a run that is still listed is told to
+	// stop again.
+	stopRetry = 300 * time.Millisecond
+	// unhealthyTime is how long a worker that refused a start gets no new work.
+	unhealthyTime = 2 * time.Second
+)
+
+// start sends the start of a member whose placement is kept.
+func (t *term) start(m *member) {
+	w := t.workers[m.worker]
+	if w == nil || w.client == nil || m.stopping || w.born != m.born {
+		// Nothing was sent, so nothing can begin.
+		m.sent = true
+		t.forgo(m, "the worker is gone or the run is no longer wanted")
+		return
+	}
+	now := boottime.Now()
+	order := StartOrder{
+		Task: m.task(), Run: m.run, Specification: m.unit.job.spec.Job.Specification,
+		Deadline: w.now(now) + startWindow, Token: m.token, Checkpoint: m.unit.saved,
+	}
+	w.heldUntil = max(w.heldUntil, order.Deadline)
+	m.sent, m.starting = true, true
+	m.movedAt = time.Now()
+	client := w.client
+	t.loops.Go(func() { t.sendStart(m, client, order, now.Add(startTime)) })
+}
+
+// sendStart repeats a start until it is answered or its time is over.
+func (t *term) sendStart(m *member, client WorkerClient, order StartOrder, until boottime.Time) {
+	unanswered := false
+	began := time.Now()
+	for t.ctx.Err() == nil && t.valid() {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		err := client.Start(ctx, order)
+		cancel()
+		if err == nil {
+			t.p.Meter.Time("start_call_time", time.Since(began))
+			t.started(m)
+			return
+		}
+		t.p.Meter.Inc("start_" + string(fault.KindOf(err)))
+		if t.ctx.Err() != nil {
+			return
+		}
+		if settled(err, unanswered) {
+			t.refused(m, err)
+			return
+		}
+		unanswered = unanswered || fault.Is(err, fault.AnswerLost)
+		if boottime.Now() >= until {
+			break
+		}
+		pause(t.ctx, orderRetry)
+	}
+	t.unanswered(m)
+}
+
+// orderRetry is the pause between two attempts of an order.
+const orderRetry = 30 * time.Millisecond
+
+// settled reports whether a refusal proves that the run does not begin. After
+// an attempt without an answer only those do that refuse the earlier one too.
+func settled(err error, unanswered bool) bool {
+	switch fault.KindOf(err) {
+	case fault.Fenced, fault.Deadline, fault.Conflict:
+		return true
+	case fault.Overloaded, fault.NotStarted, fault.BadRequest:
+		return !unanswered
+	}
+	return false
+}
+
+func (t *term) started(m *member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m.starting = false
+	m.answered = boottime.Now()
+	t.p.Meter.Inc("start_ok")
+	t.p.Log.Debug("started", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "token", m.token)
+	if m.stopping {
+		t.stop(m)
+	}
+}
+
+func (t *term) refused(m *member, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m.starting = false
+	w := t.workers[m.worker]
+	t.p.Log.Info("start refused", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "kind", fault.KindOf(err), "error", err)
+	switch {
+	case fault.Is(err, fault.Fenced) && w != nil && m.token >= w.token:
+		t.fail("a worker has seen a higher token")
+		return
+	case fault.Is(err, fault.NotStarted) && w != nil:
+		t.closeWorker(w, "refuses starts", unhealthyTime)
+	}
+	t.forgo(m, "refused")
+	t.poke()
+}
+
+// forgo drops a member that has not begun and can't any more.
+func (t *term) forgo(m *member, reason string) {
+	if m.gone {
+		return
+	}
+	w := t.workers[m.worker]
+	if w == nil {
+		w = t.workerOf(m.worker)
+	}
+	t.p.Log.Info("start given up", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "reason", reason)
+	t.drop(w, m)
+	t.broken(m.unit)
+	t.release(m.unit)
+}
+
+// unanswered stops a run that may or may not have begun. A stop that is
+// answered keeps it from beginning later.
+func (t *term) unanswered(m *member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m.starting = false
+	if m.gone || t.ctx.Err() != nil {
+		return
+	}
+	t.p.Log.Warn("start not answered", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker)
+	t.broken(m.unit)
+	t.stop(m)
+	t.poke()
+}
+
+// stop tells a worker to stop a run, and again while it goes on. A run whose
+// start is still on its way is stopped once that is settled.
+func (t *term) stop(m *member) {
+	m.stopping = true
+	w := t.workers[m.worker]
+	if m.gone || m.starting || !m.sent || w == nil || w.client == nil || time.Since(m.stopSent) < stopRetry {
+		return
+	}
+	m.stopSent = time.Now()
+	client, token := w.client, w.token
+	task, run := m.task(), m.run
+	t.loops.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		defer cancel()
+		err := client.Stop(ctx, task, run, token)
+		if err != nil {
+			t.p.Meter.Inc("stop_" + string(fault.KindOf(err)))
+			return
+		}
+		t.mu.Lock()
+		m.voided = boottime.Now()
+		t.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/fleet/planner/plan.go
@@ -0,0 +1,385 @@
+package planner
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/order"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+)
+
+const (
+	// claimTime is how long room is kept for an urgent unit before it looks for
+	// other room: a stop takes less.
+	claimTime = 1200 * time.Millisecond
+	// reservations is the number of blocked gangs for which room is kept.
+	reservations = 2
+	// minRuntime is the least time that a running unit is expected to go on.
+	minRuntime = 0.2
+	// lateFactor times the objective is when a completion earns nothing more.
+	lateFactor = 3
+)
+
+// view is what one look at what waits decides on.
+type view struct {
+	in      placement.Input
+	workers []*worker
+	index   map[string]int
+	waiting []*unit
+	running []*unit
+	// counts holds the tasks on each worker of the steps that bound them.
+	counts map[stepKey]map[int]int
+}
+
+// stepKey names one occurrence of a step.
+type stepKey struct {
+	job              *job
+	occurrence, step int
+}
+
+// plan places what waits.
+func (t *term) plan(now time.Time) {
+	t.refreshQueues()
+	v := t.view(now)
+	if len(v.waiting) == 0 {
+		return
+	}
+	d := placement.Plan(v.in)
+	for _, r := range d.Stops {
+		t.preempt(v.running[r])
+	}
+	for _, s := range d.Starts {
+		t.place(v, s, now)
+	}
+	for _, c := range d.Claims {
+		t.claim(v, c, now)
+	}
+}
+
+// refreshQueues takes the queues of the newest configuration.
+func (t *term) refreshQueues() {
+	c := t.p.Config.Current()
+	if c == nil || c.Version == t.configVersion {
+		return
+	}
+	t.configVersion = c.Version
+	for _, j := range t.live {
+		t.refreshQueue(j, c)
+	}
+}
+
+func (t *term) refreshQueue(j *job, c *model.Config) {
+	if q := c.Queue(j.spec.Queue.Name); q != nil {
+		j.queue = *q
+	}
+}
+
+func (t *term) view(now time.Time) *view {
+	v := &view{index: make(map[string]int, len(t.workers))}
+	v.in.Reservations = reservations
+	for _, w := range t.workers {
+		if w.listed {
+			v.workers = append(v.workers, w)
+		}
+	}
+	sort.Slice(v.workers, func(i, j int) bool {
+		a, b := v.workers[i], v.workers[j]
+		if a.info.Rack != b.info.Rack {
+			return a.info.Rack < b.info.Rack
+		}
+		return a.id < b.id
+	})
+	for i, w := range v.workers {
+		v.index[w.id] = i
+		v.in.Workers = append(v.in.Workers, placement.Worker{
+			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
+			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used()),
+			Open: w.heard && !w.failing && !w.info.Draining && !now.Before(w.closedUntil),
+		})
+	}
+	t.guarantees()
+	t.viewRunning(v, now)
+	t.viewWaiting(v, now)
+	return v
+}
+
+// guarantees marks the urgent jobs that stand within their account's guarantee,
+// the oldest first.
+func (t *term) guarantees() {
+	c := t.p.Config.Current()
+	var urgent []*job
+	for _, j := range t.live {
+		j.guaranteed = false
+		if j.queue.Priority == 0 {
+			urgent = append(urgent, j)
+		}
+	}
+	sort.Slice(urgent, func(a, b int) bool {
+		if !urgent[a].accepted.Equal(urgent[b].accepted) {
+			return urgent[a].accepted.Before(urgent[b].accepted)
+		}
+		return urgent[a].id < urgent[b].id
+	})
+	used := make(map[string]int64)
+	for _, j := range urgent {
+		a := c.Account(j.spec.Account)
+		if a == nil {
+			continue
+		}
+		used[a.Name] += j.need()
+		j.guaranteed = used[a.Name] <= a.Guaranteed
+	}
+}
+
+// need returns the accelerators of all tasks of a job.
+func (j *job) need() int64 {
+	n := int64(0)
+	for i := range j.spec.Job.Steps {
+		s := &j.spec.Job.Steps[i]
+		n += int64(s.Tasks) * s.Shape.Accelerators
+	}
+	return n
+}
+
+func (t *term) viewRunning(v *view, now time.Time) {
+	at := make(map[*unit]int)
+	for i, w := range v.workers {
+		for _, m := range w.sorted() {
+			u := m.unit
+			k, ok := at[u]
+			if !ok {
+				k = len(v.running)
+				at[u] = k
+				v.running = append(v.running, u)
+				v.in.Running = append(v.in.Running, u.running(now))
+			}
+			r := &v.in.Running[k]
+			r.Workers = append(r.Workers, i)
+			r.Stopping = r.Stopping || m.stopping
+		}
+	}
+}
+
+// running returns what placement needs to know of a unit that holds room.
+func (u *unit) running(now time.Time) placement.Running {
+	s := u.step()
+	r := placement.Running{
+		Shape: s.Counted(), Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
+		Stopping: u.done || u.breaking || u.job.ended(), Fixed: s.Lasting && s.MayMiss > 0,
+	}
+	elapsed := now.Sub(u.placed).Seconds()
+	r.EndsIn = u.endsIn(elapsed)
+	lost := elapsed
+	if s.Checkpoints {
+		// A stop saves the work; what is lost is the time to resume.
+		lost = min(lost, 1)
+	}
+	r.Loss = (lost + 0.3) * s.Shape.Cores() * float64(len(u.members))
+	return r
+}
+
+// endsIn returns the expected time until a running unit ends, in seconds.
+func (u *unit) endsIn(elapsed float64) float64 {
+	percent := 100.0
+	for _, m := range u.members {
+		percent = min(percent, m.percent)
+	}
+	if percent >= 10 && percent < 100 && elapsed > 1 {
+		return max(elapsed*(100-percent)/percent, minRuntime)
+	}
+	return max(u.step().Estimate.Seconds()-elapsed, minRuntime)
+}
+
+func (t *term) viewWaiting(v *view, now time.Time) {
+	var units []*unit
+	var ranks []order.Unit
+	for _, j := range t.live {
+		for _, u := range j.order {
+			if !u.waits() || !j.turn(u) {
+				continue
+			}
+			if u.readyAt.IsZero() {
+				u.readyAt = now
+			}
+			units = append(units, u)
+			ranks = append(ranks, u.rank(now))
+		}
+	}
+	// The order of a map is random; equal ranks are to stay in one order.
+	byID := make([]int, len(units))
+	for i := range byID {
+		byID[i] = i
+	}
+	sort.Slice(byID, func(a, b int) bool { return units[byID[a]].before(units[byID[b]]) })
+	sorted, sortedRanks := make([]*unit, len(units)), make([]order.Unit, len(units))
+	for i, k := range byID {
+		sorted[i], sortedRanks[i] = units[k], ranks[k]
+	}
+	for _, k := range order.Sort(sortedRanks) {
+		v.waiting = append(v.waiting, sorted[k])
+		v.in.Waiting = append(v.in.Waiting, t.waiting(v, sorted[k], now))
+	}
+}
+
+func (u *unit) before(o *unit) bool {
+	if u.job != o.job {
+		if !u.job.accepted.Equal(o.job.accepted) {
+			return u.job.accepted.Before(o.job.accepted)
+		}
+		return u.job.id < o.job.id
+	}
+	if u.key.occurrence != o.key.occurrence {
+		return u.key.occurrence < o.key.occurrence
+	}
+	if u.key.step != o.key.step {
+		return u.key.step < o.key.step
+	}
+	return u.key.index < o.key.index
+}
+
+// rank returns what the order of the waiting units depends on.
+func (u *unit) rank(now time.Time) order.Unit {
+	j := u.job
+	from := j.accepted
+	if j.spec.Job.Occurrences > 0 {
+		from = j.due(u.key.occurrence)
+	}
+	age := now.Sub(from).Seconds()
+	chains := j.chains()
+	objective := j.queue.Stretch*slices.Max(chains) + j.queue.Aim.Seconds()
+	return order.Unit{
+		Guaranteed: j.guaranteed, Priority: j.queue.Priority, Age: age,
+		Due: objective - age, Lost: lateFactor*objective - age, Chain: chains[u.key.step],
+	}
+}
+
+// chains returns, for each step, the estimated time from its start until all
+// steps that need it are done, in seconds.
+func (j *job) chains() []float64 {
+	steps := j.spec.Job.Steps
+	out := make([]float64, len(steps))
+	for s := len(steps) - 1; s >= 0; s-- {
+		after := 0.0
+		for k := s + 1; k < len(steps); k++ {
+			if slices.Contains(steps[k].After, s) {
+				after = max(after, out[k])
+			}
+		}
+		out[s] = steps[s].Estimate.Seconds() + after
+	}
+	return out
+}
+
+// waiting returns what placement needs to know of a unit that waits.
+func (t *term) waiting(v *view, u *unit, now time.Time) placement.Unit {
+	s := u.step()
+	x := placement.Unit{
+		Service: u.job.queue.Service, Tasks: u.tasks(), Shape: s.Counted(), SameRack: s.SameRack, Label: s.Label,
+		PerWorker: s.PerWorker, Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
+		Runtime: s.Estimate.Seconds(),
+	}
+	if v.hasRack(s.Rack) {
+		x.Rack = s.Rack
+	}
+	if s.PerWorker > 0 {
+		x.Taken = v.taken(u)
+	}
+	for id, until := range u.avoid {
+		if i, ok := v.index[id]; ok && now.Before(until) {
+			if x.Avoid == nil {
+				x.Avoid = make(map[int]bool)
+			}
+			x.Avoid[i] = true
+		}
+	}
+	if u.claim != nil && now.Sub(u.claimed) < claimTime {
+		x.Claim = v.indices(u.claim)
+	}
+	return x
+}
+
+func (v *view) hasRack(rack string) bool {
+	return rack != "" && slices.ContainsFunc(v.workers, func(w *worker) bool { return w.info.Rack == rack })
+}
+
+// taken counts the tasks of a unit's step on each worker.
+func (v *view) taken(u *unit) map[int]int {
+	k := stepKey{u.job, u.key.occurrence, u.key.step}
+	if n, ok := v.counts[k]; ok {
+		return n
+	}
+	n := make(map[int]int)
+	if v.counts == nil {
+		v.counts = make(map[stepKey]map[int]int)
+	}
+	v.counts[k] = n
+	for _, x := range u.job.order {
+		if x.key.occurrence != u.key.occurrence || x.key.step != u.key.step {
+			continue
+		}
+		for _, m := range x.members {
+			if i, ok := v.index[m.worker]; ok {
+				n[i]++
+			}
+		}
+	}
+	return n
+}
+
+// indices returns the places of workers, nil when one is not there.
+func (v *view) indices(ids []string) []int {
+	out := make([]int, len(ids))
+	for k, id := range ids {
+		i, ok := v.index[id]
+		if !ok {
+			return nil
+		}
+		out[k] = i
+	}
+	return out
+}
+
+// preempt stops a unit to make room.
+func (t *term) preempt(u *unit) {
+	t.p.Meter.Inc("preempted")
+	t.p.Log.Info("pre-empted", "job", u.job.id, "step", u.key.step, "tasks", len(u.members), "priority", u.job.queue.Priority,
+		"ran_ms", time.Since(u.placed).Milliseconds(), "checkpoints", u.step().Checkpoints)
+	t.broken(u)
+}
+
+// place notes where a unit starts; the starts are sent once that is kept.
+func (t *term) place(v *view, s placement.Start, now time.Time) {
+	u := v.waiting[s.Unit]
+	u.run++
+	u.claim, u.placed = nil, now
+	u.job.begun = true
+	for i, k := range s.Workers {
+		w := v.workers[k]
+		index := u.key.index
+		if index < 0 {
+			index = i
+		}
+		m := &member{unit: u, index: index, run: u.run, token: w.token, worker: w.id, born: w.born, movedAt: now}
+		u.members = append(u.members, m)
+		w.members[runKey{m.task(), m.run}] = m
+	}
+	t.touch(u.job)
+	t.p.Meter.Inc("placed")
+	t.p.Meter.Time("queue_wait_time", now.Sub(u.readyAt))
+	t.p.Log.Info("placed", "job", u.job.id, "step", u.key.step, "index", u.key.index, "run", u.run, "tasks", len(s.Workers),
+		"priority", u.job.queue.Priority, "guaranteed", u.job.guaranteed, "waited_ms", now.Sub(u.readyAt).Milliseconds())
+}
+
+// claim keeps the room that is being cleared for a unit.
+func (t *term) claim(v *view, s placement.Start, now time.Time) {
+	u := v.waiting[s.Unit]
+	ids := make([]string, len(s.Workers))
+	for i, k := range s.Workers {
+		ids[i] = v.workers[k].id
+	}
+	if !slices.Equal(ids, u.claim) || now.Sub(u.claimed) >= claimTime {
+		u.claim, u.claimed = ids, now
+	}
+}
--- /dev/null
+++ b/internal/fleet/planner/planner.go
@@ -0,0 +1,186 @@
+package planner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+// Config gives the operators' configuration.
+type Config interface {
+	Current() *model.Config
+	AtLeast(ctx context.Context, version int64) error
+}
+
+// Planner plans while this VM holds the lock. Its exported fields are set
+// before use.
+type Planner struct {
+	Store  store.Store
+	Config Config
+	// WorkerPrefix is where the workers register, and DecodeWorker reads what
+	// one says there.
+	WorkerPrefix string
+	DecodeWorker func(it store.Item) (model.Worker, error)
+	Dial         func(id, address string) WorkerClient
+	Bounds       model.Bounds
+	Log          *slog.Logger
+	Meter        *meter.Meter
+
+	mu   sync.Mutex
+	term *term
+}
+
+// Lead plans for one term. It returns when ctx ends or when the term can't go
+// on, to give the lock up.
+func (p *Planner) Lead(ctx context.Context, l lock.Term) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := newTerm(ctx, cancel, p, l.Revision, l.Valid)
+	p.Log.Info("planner term begins", "term", l.Revision)
+	if err := t.load(); err != nil {
+		p.Log.Warn("planner term ends", "term", l.Revision, "reason", "the store could not be read", "error", err)
+		return
+	}
+	p.set(t)
+	defer p.set(nil)
+	t.run()
+	p.Log.Info("planner term ends", "term", l.Revision, "reason", t.reason())
+}
+
+func (p *Planner) set(t *term) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.term = t
+	active := int64(0)
+	if t != nil {
+		active = 1
+	}
+	p.Meter.Set("planner_active", active)
+}
+
+// current returns the present term.
+func (p *Planner) current() (*term, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term == nil || p.term.ctx.Err() != nil {
+		return nil, fault.New(fault.NotReady, "this VM is not the planner")
+	}
+	return p.term, nil
+}
+
+// Submit takes a job that the store holds.
+func (p *Planner) Submit(ctx context.Context, _ string, record []byte) error {
+	t, err := p.current()
+	if err != nil {
+		return err
+	}
+	s, err := DecodeSpec(record)
+	if err != nil {
+		return err
+	}
+	if err := p.Config.AtLeast(ctx, s.ConfigVersion); err != nil {
+		p.Log.Warn("a job's configuration could not be read", "job", s.Job.ID, "version", s.ConfigVersion, "error", err)
+	}
+	t.mu.Lock()
+	t.takeSpec(s, "peer")
+	t.mu.Unlock()
+	t.poke()
+	return nil
+}
+
+// Cancel takes a cancellation that the store holds.
+func (p *Planner) Cancel(id string) error {
+	t, err := p.current()
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.takeCancel(id, "peer")
+	t.mu.Unlock()
+	t.poke()
+	return nil
+}
+
+// State returns the state of a job. known is false when the term does not know
+// the job; the store may.
+func (p *Planner) State(id string) (s model.JobState, known bool, err error) {
+	t, err := p.current()
+	if err != nil {
+		return "", false, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j := t.jobs[id]
+	if j == nil {
+		return "", false, nil
+	}
+	return j.shown(), true, nil
+}
+
+// shown returns the state that callers are told: an end only once it is kept.
+func (j *job) shown() model.JobState {
+	switch {
+	case j.cancelled && j.state != model.Completed && j.state != model.Failed:
+		return model.Cancelled
+	case j.ended() && j.kept:
+		return j.state
+	case j.begun:
+		return model.Running
+	}
+	return model.Queued
+}
+
+// Digest returns the figures for the entries.
+func (p *Planner) Digest() (model.Digest, error) {
+	t, err := p.current()
+	if err != nil {
+		return model.Digest{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := model.Digest{Pending: make(map[string]int64)}
+	for _, j := range t.jobs {
+		if !j.ended() && !j.begun {
+			d.Pending[j.spec.Queue.Name]++
+		}
+	}
+	d.Rooms = t.rooms()
+	return d, nil
+}
+
+func (t *term) rooms() []model.Room {
+	type key struct {
+		service  string
+		capacity model.Shape
+		labels   string
+	}
+	count := make(map[key]*model.Room)
+	var rooms []model.Room
+	for _, w := range t.workers {
+		if !w.listed {
+			continue
+		}
+		k := key{service: w.info.Service, capacity: w.info.Capacity}
+		for _, l := range w.info.Labels {
+			k.labels += l + " "
+		}
+		if count[k] == nil {
+			count[k] = &model.Room{Service: w.info.Service, Capacity: w.info.Capacity, Labels: w.info.Labels}
+		}
+		count[k].Workers++
+	}
+	for _, r := range count {
+		rooms = append(rooms, *r)
+	}
+	return rooms
+}
+
+// unixMS returns the time of day in milliseconds.
+func unixMS() int64 { return time.Now().UnixMilli() }
--- /dev/null
+++ b/internal/fleet/planner/term.go
@@ -0,0 +1,333 @@
+package planner
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+const (
+	// tick is the longest pause between two looks at what waits.
+	tick = 100 * time.Millisecond
+	// loadTimeout bounds the reading of the store at the start of a term.
+	loadTimeout = 1500 * time.Millisecond
+	// tokenShift leaves room below the lock's revision for the tokens that a
+	// term raises for one worker.
+	tokenShift = 16
+)
+
+// term is one holding of the planner lock. All fields below mu are guarded by
+// it.
+type term struct {
+	p        *Planner
+	ctx      context.Context
+	cancel   context.CancelFunc
+	revision int64
+	// valid reports whether the lock is held for certain.
+	valid func() bool
+	began boottime.Time
+	// wake asks for a look at what waits.
+	wake  chan struct{}
+	loops sync.WaitGroup
+
+	mu      sync.Mutex
+	jobs map[string]*job
+	// live are the jobs that have not ended.
+	live    map[string]*job
+	workers map[string]*worker
+	ended   string
+	// behind are the jobs whose records are to be written, in the order in
+	// which they changed.
+	behind []*job
+	// configVersion is that of the queues of the live jobs.
+	configVersion int64
+	// keepAfter delays the next write after the store refused one.
+	keepAfter time.Time
+	// jobsAt is the store's revision up to which jobs are known.
+	jobsAt int64
+}
+
+func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
+	return &term{
+		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, began: boottime.Now(),
+		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
+	}
+}
+
+// fail ends the term.
+func (t *term) fail(reason string) {
+	if t.ended == "" {
+		t.ended = reason
+	}
+	t.cancel()
+}
+
+func (t *term) reason() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended == "" {
+		return "the lock was lost or given up"
+	}
+	return t.ended
+}
+
+// poke asks for a look at what waits.
+func (t *term) poke() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// load reads the jobs, the run records and the workers.
+func (t *term) load() error {
+	ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
+	defer cancel()
+	specs, at, err := t.p.Store.Range(ctx, store.JobPrefix)
+	if err != nil {
+		return err
+	}
+	runs, _, err := t.p.Store.Range(ctx, store.RunPrefix)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.jobsAt = at
+	t.takeJobItems(specs, "load")
+	for _, it := range runs {
+		t.takeRun(it)
+	}
+	// A worker that holds tasks may be on no list any more.
+	for _, j := range t.jobs {
+		t.adopt(j)
+	}
+	return nil
+}
+
+// takeRun takes the record of a job over from the earlier terms.
+func (t *term) takeRun(it store.Item) {
+	id := it.Key[len(store.RunPrefix):]
+	j := t.jobs[id]
+	if j == nil {
+		return
+	}
+	r, err := DecodeRun(it.Value)
+	if err != nil {
+		t.p.Meter.Inc("record_decode_error")
+		t.p.Log.Error("a run record can't be read", "job", id, "error", err)
+		return
+	}
+	j.revision, j.begun = it.Revision, r.Begun
+	if r.State != "" {
+		j.state, j.kept, j.endedMS = r.State, true, r.EndedMS
+		delete(t.live, id)
+	}
+	for _, x := range r.Units {
+		t.takeUnit(j, x)
+	}
+}
+
+func (t *term) takeUnit(j *job, x UnitRecord) {
+	k := unitKey{x.Occurrence, x.Step, x.Index}
+	if x.Step >= len(j.spec.Job.Steps) {
+		return
+	}
+	j.makeUnits(x.Occurrence + 1)
+	u := j.units[k]
+	if u == nil {
+		return
+	}
+	u.run, u.failures, u.saved, u.done = x.Run, x.Failures, x.Saved, x.Done
+	for _, p := range x.Places {
+		u.members = append(u.members, &member{
+			unit: u, index: p.Index, run: x.Run, token: p.Token, worker: p.Worker, born: p.Born,
+			adopted: true, sent: true, movedAt: time.Now(),
+		})
+	}
+	u.placed = time.Now()
+}
+
+// adopt attaches the members of a job to their workers.
+func (t *term) adopt(j *job) {
+	for _, u := range j.order {
+		for _, m := range u.members {
+			w := t.workerOf(m.worker)
+			w.members[runKey{m.task(), m.run}] = m
+		}
+	}
+}
+
+// workerOf returns a worker by its id; one that no list names has no client.
+func (t *term) workerOf(id string) *worker {
+	w := t.workers[id]
+	if w == nil {
+		w = &worker{
+			id: id, token: t.revision << tokenShift, members: make(map[runKey]*member),
+			strangers: make(map[runKey]model.Shape), failures: make(map[string]bool), wake: make(chan struct{}, 1),
+			unlistedAt: time.Now(),
+		}
+		t.workers[id] = w
+	}
+	return w
+}
+
+// run plans until the term ends.
+func (t *term) run() {
+	defer t.loops.Wait()
+	defer t.cancel()
+	t.loops.Go(t.followWorkers)
+	t.loops.Go(t.followJobs)
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for t.ctx.Err() == nil {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.wake:
+		case <-timer.C:
+		}
+		t.look()
+	}
+}
+
+// look plans once and keeps what changed.
+func (t *term) look() {
+	if !t.valid() {
+		return
+	}
+	t.mu.Lock()
+	now := time.Now()
+	t.expire()
+	t.makeDue(now)
+	t.plan(now)
+	b := t.batch()
+	t.mu.Unlock()
+	for b != nil && t.ctx.Err() == nil {
+		err := t.commit(b)
+		t.mu.Lock()
+		t.committed(b, err)
+		b = nil
+		if err == nil {
+			b = t.batch()
+		}
+		t.mu.Unlock()
+	}
+}
+
+// expire frees what stood on workers whose leases must be over.
+func (t *term) expire() {
+	now := boottime.Now()
+	for _, w := range t.workers {
+		silent := w.client == nil || w.failing || !w.heard
+		if len(w.members) == 0 || !silent || now < w.leaseOver(t.began, t.p.Bounds.MaxHold) {
+			continue
+		}
+		for _, m := range w.sorted() {
+			t.lost(w, m, "lease over")
+		}
+	}
+}
+
+// sorted returns the members of a worker in a fixed order.
+func (w *worker) sorted() []*member {
+	all := make([]*member, 0, len(w.members))
+	for _, m := range w.members {
+		all = append(all, m)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i].task(), all[j].task()
+		switch {
+		case a.Job != b.Job:
+			return a.Job < b.Job
+		case a.Occurrence != b.Occurrence:
+			return a.Occurrence < b.Occurrence
+		case a.Step != b.Step:
+			return a.Step < b.Step
+		}
+		return a.Index < b.Index
+	})
+	return all
+}
+
+const (
+	// followWait bounds one watch of the jobs; a silent one is noticed then.
+	followWait = 3 * time.Second
+	// followSlack is added to the time of a watch for its answer.
+	followSlack = 800 * time.Millisecond
+	// retryPause is the pause after a failed call to the store.
+	retryPause = 200 * time.Millisecond
+)
+
+// followJobs takes new jobs and cancellations from the store.
+func (t *term) followJobs() {
+	for t.ctx.Err() == nil {
+		t.mu.Lock()
+		at := t.jobsAt
+		t.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.ctx, followWait+followSlack)
+		events, next, err := t.p.Store.Watch(ctx, store.JobPrefix, at, followWait)
+		cancel()
+		if fault.Is(err, fault.RetryHorizon) {
+			t.p.Meter.Inc("planner_watch_restart")
+			events, next, err = t.listJobs()
+		}
+		if err != nil {
+			t.p.Meter.Inc("planner_watch_retry")
+			pause(t.ctx, retryPause)
+			continue
+		}
+		t.mu.Lock()
+		t.jobsAt = next
+		t.takeJobItems(events, "watch")
+		t.mu.Unlock()
+		if len(events) > 0 {
+			t.poke()
+		}
+	}
+}
+
+func (t *term) listJobs() ([]store.Item, int64, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
+	defer cancel()
+	return t.p.Store.Range(ctx, store.JobPrefix)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// takeJobItems takes records of jobs and cancellations; cancellations last,
+// since a page may list one before its job.
+func (t *term) takeJobItems(items []store.Item, by string) {
+	var cancelled []string
+	for _, it := range items {
+		id, cancel, ok := store.SplitJobKey(it.Key)
+		if !ok || it.Deleted {
+			continue
+		}
+		if cancel {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		s, err := DecodeSpec(it.Value)
+		if err != nil {
+			t.p.Meter.Inc("record_decode_error")
+			t.p.Log.Error("a job's record can't be read", "job", id, "error", err)
+			continue
+		}
+		t.takeSpec(s, by)
+	}
+	for _, id := range cancelled {
+		t.takeCancel(id, by)
+	}
+}
--- /dev/null
+++ b/internal/fleet/planner/types.go
@@ -0,0 +1,104 @@
+// Package planner places the jobs of the whole fleet while this VM holds the
+// planner lock.
+//
+// Each placement is in the store, under a condition on the lock, before its
+// start is sent; each end is in the store before the worker is told to forget
+// it. What a term believes is rebuilt by the next one from the store and from
+// the workers' own lists.
+package planner
+
+import (
+	"context"
+	"time"
+)
+
+// TaskID names a task.
+type TaskID struct {
+	Job string
+	// Occurrence counts from 0.
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// StartOrder starts a run of a task.
+type StartOrder struct {
+	Task TaskID
+	// Run numbers the task's starts; it rises.
+	Run           int64
+	Specification string
+	// Deadline is a time on the worker's clock.
+	Deadline   time.Duration
+	Token      int64
+	Checkpoint string
+}
+
+// HoldOrder prolongs the lease of all that runs on a worker, and asks what does.
+type HoldOrder struct {
+	Token int64
+	// LastSeen is the number of the last end that is kept in the store.
+	LastSeen int64
+	// Deadline is a time on the worker's clock; 0 for none.
+	Deadline time.Duration
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// RunReport is a run that a worker lists.
+type RunReport struct {
+	Task       TaskID
+	Run        int64
+	Checkpoint string
+	// Percent is the progress, 0 to 100.
+	Percent float64
+}
+
+// EndKind says how a run ended.
+type EndKind string
+
+// The ways in which a run ends.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	EndLapsed  EndKind = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken EndKind = "broken"
+	// EndAlone means that the other members did not come in time.
+	EndAlone EndKind = "alone"
+)
+
+// End is an end that a worker lists.
+type End struct {
+	// Number rises by one with each end in a life of the worker.
+	Number     int64
+	Task       TaskID
+	Run        int64
+	How        EndKind
+	Checkpoint string
+}
+
+// Report is a worker's answer to a hold.
+type Report struct {
+	// Clock is the worker's steady clock.
+	Clock time.Duration
+	// Born is the worker's start in Unix milliseconds.
+	Born    int64
+	Running []RunReport
+	Ends    []End
+}
+
+// WorkerClient gives orders to one worker.
+//
+// Errors are of kind Unreachable when nothing was sent, AnswerLost when the
+// order may have been, or may yet be, carried out, Fenced when the worker has
+// seen a higher token, Deadline when the order came late, Overloaded for want
+// of room, Conflict when the run is not higher than one that ended there,
+// NoTarget when another life answered, and NotStarted when the worker is not
+// healthy.
+type WorkerClient interface {
+	Start(ctx context.Context, o StartOrder) error
+	Stop(ctx context.Context, task TaskID, run, token int64) error
+	Hold(ctx context.Context, o HoldOrder) (Report, error)
+	Close()
+}
--- /dev/null
+++ b/internal/fleet/planner/workers.go
@@ -0,0 +1,285 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+)
+
+const (
+	// listPause is the time between two readings of the workers' list; a
+	// draining worker must get no new work within seconds.
+	listPause = 700 * time.Millisecond
+	// listTimeout bounds one reading of the list.
+	listTimeout = time.Second
+	// forgetTime is how long an unlisted worker is still asked.
+	forgetTime = 15 * time.Second
+)
+
+// followWorkers reads the list of workers until the term ends.
+func (t *term) followWorkers() {
+	for t.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(t.ctx, listTimeout)
+		items, _, err := t.p.Store.Range(ctx, t.p.WorkerPrefix)
+		cancel()
+		if err != nil {
+			t.p.Meter.Inc("worker_list_retry")
+			pause(t.ctx, retryPause)
+			continue
+		}
+		var all []model.Worker
+		for _, it := range items {
+			w, err := t.p.DecodeWorker(it)
+			if err != nil {
+				t.p.Meter.Inc("worker_entry_unusable")
+				t.p.Log.Debug("a worker's entry is not usable", "key", it.Key, "error", err)
+				continue
+			}
+			all = append(all, w)
+		}
+		t.mu.Lock()
+		t.takeWorkers(all)
+		t.mu.Unlock()
+		t.poke()
+		pause(t.ctx, listPause)
+	}
+}
+
+// takeWorkers takes the platform's list of workers.
+func (t *term) takeWorkers(all []model.Worker) {
+	listed := make(map[string]bool, len(all))
+	for _, info := range all {
+		listed[info.ID] = true
+		w := t.workerOf(info.ID)
+		if info.Draining && !w.info.Draining {
+			t.p.Log.Info("worker drains", "worker", w.id, "leaves_ms", info.Leaves.Milliseconds(), "runs", len(w.members))
+		}
+		moved := w.client != nil && w.info.Address != info.Address
+		w.info, w.listed = info, true
+		if moved {
+			w.client.Close()
+			w.client = t.p.Dial(w.id, info.Address)
+		}
+		if w.client == nil {
+			w.client = t.p.Dial(w.id, info.Address)
+			t.p.Log.Debug("worker known", "worker", w.id, "rack", info.Rack, "address", info.Address)
+			t.loops.Go(func() { t.holdLoop(w) })
+		}
+	}
+	for id, w := range t.workers {
+		if listed[id] {
+			continue
+		}
+		if w.listed {
+			w.listed, w.unlistedAt = false, time.Now()
+			t.p.Log.Info("worker no longer listed", "worker", id, "runs", len(w.members))
+		}
+		if len(w.members) == 0 && time.Since(w.unlistedAt) > forgetTime {
+			delete(t.workers, id)
+		}
+	}
+}
+
+const (
+	// holdWait is how long a worker with work may keep the answer to a hold
+	// back until a run ends.
+	holdWait = 1000 * time.Millisecond
+	// idleWait is the same for a worker without work.
+	idleWait = 2000 * time.Millisecond
+	// holdSlack is added to that for the answer.
+	holdSlack = 600 * time.Millisecond
+	// holdLease is how long work runs on when the planner is not heard of. It
+	// outlasts the change of a planner and a short outage of the store.
+	holdLease = 5500 * time.Millisecond
+	// holdRetry is the pause after a hold that was not answered.
+	holdRetry = 200 * time.Millisecond
+	// keepWait bounds the wait for the ends to be kept before the next hold.
+	keepWait = 300 * time.Millisecond
+)
+
+// holdLoop prolongs the leases of a worker and takes in what it lists.
+func (t *term) holdLoop(w *worker) {
+	for t.ctx.Err() == nil {
+		if !t.valid() {
+			pause(t.ctx, retryPause)
+			continue
+		}
+		t.mu.Lock()
+		if t.workers[w.id] != w {
+			t.mu.Unlock()
+			w.client.Close()
+			return
+		}
+		sent := boottime.Now()
+		order := t.holdOrder(w, sent)
+		client := w.client
+		t.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.ctx, order.Wait+holdSlack)
+		began := time.Now()
+		rep, err := client.Hold(ctx, order)
+		cancel()
+		if t.ctx.Err() != nil {
+			return
+		}
+		t.p.Meter.Time("hold_call_time", time.Since(began))
+		t.mu.Lock()
+		rest := t.held(w, order, sent, &rep, err)
+		t.mu.Unlock()
+		t.poke()
+		if rest > 0 {
+			select {
+			case <-t.ctx.Done():
+			case <-w.wake:
+			case <-time.After(rest):
+			}
+		}
+	}
+}
+
+// holdOrder returns the next hold for a worker.
+func (t *term) holdOrder(w *worker, now boottime.Time) HoldOrder {
+	o := HoldOrder{Token: w.token, LastSeen: w.kept}
+	if w.recv == 0 || !w.heard || w.failing {
+		if w.recv != 0 && w.heard {
+			o.Deadline = w.now(now) + min(holdLease, t.p.Bounds.MaxHold)
+			w.heldUntil = max(w.heldUntil, o.Deadline)
+		}
+		return o
+	}
+	o.Deadline = w.now(now) + min(holdLease, t.p.Bounds.MaxHold)
+	w.heldUntil = max(w.heldUntil, o.Deadline)
+	o.Wait = idleWait
+	if len(w.members) > 0 || len(w.strangers) > 0 {
+		o.Wait = holdWait
+	}
+	return o
+}
+
+// held takes in the answer to a hold and returns how long to rest.
+func (t *term) held(w *worker, o HoldOrder, sent boottime.Time, rep *Report, err error) time.Duration {
+	switch {
+	case fault.Is(err, fault.Fenced) && o.Token >= w.token:
+		t.fail("a worker has seen a higher token")
+		return holdRetry
+	case fault.Is(err, fault.Fenced):
+		return 0
+	case err != nil:
+		if !w.failing {
+			t.p.Log.Info("worker not reached", "worker", w.id, "runs", len(w.members), "error", err)
+		}
+		t.p.Meter.Inc("hold_" + string(fault.KindOf(err)))
+		w.failing = true
+		return holdRetry
+	}
+	if w.failing {
+		t.p.Log.Info("worker reached again", "worker", w.id)
+	}
+	first := !w.heard
+	w.failing, w.clock, w.recv = false, rep.Clock, boottime.Now()
+	if rep.Born != w.born && w.born != 0 {
+		t.reborn(w, rep.Born)
+		return 0
+	}
+	w.born = rep.Born
+	w.heard = w.heard || o.Token == w.token
+	if !w.heard {
+		return 0
+	}
+	t.takeList(w, o, sent, rep)
+	switch {
+	case w.seen > w.kept:
+		return keepWait
+	case first:
+		return 0
+	}
+	return 0
+}
+
+// reborn notes that a worker began a new life. What an old life was told may
+// still begin in the new one until it has seen a higher token.
+func (t *term) reborn(w *worker, born int64) {
+	t.p.Log.Warn("worker started anew", "worker", w.id, "born", born, "before", w.born, "runs", len(w.members))
+	t.p.Meter.Inc("worker_reborn")
+	w.born, w.heard = born, false
+	w.token++
+	w.seen, w.kept, w.heldUntil = 0, 0, 0
+	clear(w.strangers)
+	clear(w.failures)
+	w.closedUntil = time.Time{}
+}
+
+// takeList takes in the ends and runs that a worker lists.
+func (t *term) takeList(w *worker, o HoldOrder, sent boottime.Time, rep *Report) {
+	for _, e := range rep.Ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		w.seen = e.Number
+		t.takeEnd(w, e)
+	}
+	listed := make(map[runKey]bool, len(rep.Running))
+	clear(w.strangers)
+	for _, r := range rep.Running {
+		k := runKey{r.Task, r.Run}
+		listed[k] = true
+		if m := w.members[k]; m != nil {
+			t.takeRunning(w, m, r, sent)
+			continue
+		}
+		t.stranger(w, k)
+	}
+	for _, m := range w.sorted() {
+		if listed[runKey{m.task(), m.run}] || !m.sent {
+			continue
+		}
+		switch {
+		case m.answered != 0 && sent >= m.answered:
+			t.lost(w, m, "not listed")
+		case m.voided != 0 && sent >= m.voided:
+			t.lost(w, m, "stopped before it began")
+		case m.token < o.Token && !m.starting:
+			t.lost(w, m, "can't begin any more")
+		case m.stopping:
+			t.stop(m)
+		}
+	}
+}
+
+// takeRunning takes in that a worker lists a run.
+func (t *term) takeRunning(w *worker, m *member, r RunReport, sent boottime.Time) {
+	if m.answered == 0 {
+		m.answered = sent
+	}
+	m.born, m.listed = w.born, true
+	if r.Checkpoint != "" {
+		m.saved = r.Checkpoint
+	}
+	if r.Percent != m.percent {
+		m.percent, m.movedAt = r.Percent, time.Now()
+	}
+	if m.stopping || m.unit.breaking || m.unit.job.ended() {
+		t.stop(m)
+	}
+}
+
+// stranger stops a run that this term did not place or has given up.
+func (t *term) stranger(w *worker, k runKey) {
+	shape := w.info.Capacity
+	if j := t.jobs[k.task.Job]; j != nil && k.task.Step < len(j.spec.Job.Steps) {
+		shape = j.spec.Job.Steps[k.task.Step].Counted()
+	}
+	w.strangers[k] = shape
+	t.p.Meter.Inc("run_unknown")
+	t.p.Log.Info("run of unknown origin stopped", "job", k.task.Job, "task", k.task, "run", k.run, "worker", w.id)
+	token, client := w.token, w.client
+	t.loops.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		defer cancel()
+		if err := client.Stop(ctx, k.task, k.run, token); err != nil {
+			t.p.Meter.Inc("stop_" + string(fault.KindOf(err)))
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/vm/serve.go
@@ -0,0 +1,133 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/nodev1"
+)
+
+// Planner answers for the planner at this VM.
+type Planner interface {
+	Submit(ctx context.Context, id string, record []byte) error
+	Cancel(id string) error
+	State(id string) (s model.JobState, known bool, err error)
+	Digest() (model.Digest, error)
+}
+
+// Service serves the other daemons. Its fields are set before use.
+type Service struct {
+	Planner Planner
+	// Direct is the store without a relay: a relayed call goes no further.
+	Direct path.Access
+	// Holder returns who holds the planner lock.
+	Holder func() (lock.Holder, time.Duration)
+}
+
+// serveTimeout bounds a relayed call.
+const serveTimeout = 700 * time.Millisecond
+
+// notHere answers a call for the planner at a VM that does not plan.
+func notHere(err error) error { return connect.NewError(connect.CodeFailedPrecondition, err) }
+
+// turnedAway answers a relayed call that the store did not carry out.
+func turnedAway(err error) error { return connect.NewError(connect.CodeResourceExhausted, err) }
+
+// SubmitJob implements the service.
+func (s *Service) SubmitJob(ctx context.Context, r *nodev1.SubmitJobRequest) (*nodev1.SubmitJobResponse, error) {
+	if err := s.Planner.Submit(ctx, r.GetId(), r.GetRecord()); err != nil {
+		return nil, notHere(err)
+	}
+	return &nodev1.SubmitJobResponse{}, nil
+}
+
+// CancelJob implements the service.
+func (s *Service) CancelJob(_ context.Context, r *nodev1.CancelJobRequest) (*nodev1.CancelJobResponse, error) {
+	if err := s.Planner.Cancel(r.GetId()); err != nil {
+		return nil, notHere(err)
+	}
+	return &nodev1.CancelJobResponse{}, nil
+}
+
+// JobState implements the service.
+func (s *Service) JobState(_ context.Context, r *nodev1.JobStateRequest) (*nodev1.JobStateResponse, error) {
+	state, known, err := s.Planner.State(r.GetId())
+	if err != nil {
+		return nil, notHere(err)
+	}
+	return &nodev1.JobStateResponse{Known: known, State: string(state)}, nil
+}
+
+// Digest implements the service.
+func (s *Service) Digest(context.Context, *nodev1.DigestRequest) (*nodev1.DigestResponse, error) {
+	d, err := s.Planner.Digest()
+	if err != nil {
+		return nil, notHere(err)
+	}
+	a := &nodev1.DigestResponse{Pending: d.Pending}
+	for _, r := range d.Rooms {
+		a.Rooms = append(a.Rooms, &nodev1.ServiceRoom{
+			Service: r.Service, MilliCpu: r.Capacity.MilliCPU, MemoryMb: r.Capacity.MemoryMB,
+			Accelerators: r.Capacity.Accelerators, Labels: r.Labels, Workers: r.Workers,
+		})
+	}
+	return a, nil
+}
+
+// Lead implements the service.
+func (s *Service) Lead(context.Context, *nodev1.LeadRequest) (*nodev1.LeadResponse, error) {
+	h, _ := s.Holder()
+	return &nodev1.LeadResponse{VmId: h.VMID, Ip: h.IP, Revision: h.Revision}, nil
+}
+
+// RelayGet implements the service.
+func (s *Service) RelayGet(ctx context.Context, r *nodev1.RelayGetRequest) (*nodev1.RelayGetResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	it, found, err := s.Direct.Get(ctx, r.GetKey())
+	if err != nil {
+		return nil, turnedAway(err)
+	}
+	return &nodev1.RelayGetResponse{Found: found, Item: toItem(it)}, nil
+}
+
+// RelayRange implements the service.
+func (s *Service) RelayRange(ctx context.Context, r *nodev1.RelayRangeRequest) (*nodev1.RelayRangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	all, at, err := s.Direct.Range(ctx, r.GetPrefix())
+	if err != nil {
+		return nil, turnedAway(err)
+	}
+	return &nodev1.RelayRangeResponse{Items: toItems(all), At: at}, nil
+}
+
+// RelayApply implements the service.
+func (s *Service) RelayApply(ctx context.Context, r *nodev1.RelayApplyRequest) (*nodev1.RelayApplyResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	t := store.Txn{Removes: r.GetRemoves()}
+	for _, c := range r.GetConditions() {
+		t.Conditions = append(t.Conditions, store.Condition{Key: c.GetKey(), Revision: c.GetRevision()})
+	}
+	for _, p := range r.GetPuts() {
+		t.Puts = append(t.Puts, store.Put{Key: p.GetKey(), Value: p.GetValue()})
+	}
+	revision, current, err := s.Direct.Apply(ctx, t)
+	switch {
+	case err == nil:
+		return &nodev1.RelayApplyResponse{Revision: revision}, nil
+	case fault.Is(err, fault.Conflict):
+		return &nodev1.RelayApplyResponse{Conflict: true, Current: toItems(current)}, nil
+	case fault.Is(err, fault.StoreUnavailable):
+		return &nodev1.RelayApplyResponse{Unavailable: true}, nil
+	}
+	return nil, connect.NewError(connect.CodeUnknown, err)
+}
--- /dev/null
+++ b/internal/peer/vm/vm.go
@@ -0,0 +1,208 @@
+// Package vm is the protocol between the daemons on the platform: telling the
+// planner of work, asking it, and reaching the store for each other.
+package vm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/nodev1"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/nodev1/nodev1connect"
+)
+
+// Peers knows the other daemons. Its exported fields are set before use.
+type Peers struct {
+	// SelfIP is left out.
+	SelfIP string
+	Port   int
+	HTTP   *http.Client
+
+	mu    sync.Mutex
+	known map[string]*peer
+}
+
+type peer struct {
+	ip     string
+	client nodev1connect.NodeServiceClient
+	// failed is when a call last failed.
+	failed time.Time
+}
+
+// Add makes a peer known.
+func (p *Peers) Add(ip string) {
+	if ip == "" || ip == p.SelfIP {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(ip)
+}
+
+func (p *Peers) get(ip string) *peer {
+	if p.known == nil {
+		p.known = make(map[string]*peer)
+	}
+	x := p.known[ip]
+	if x == nil {
+		base := "http://" + net.JoinHostPort(ip, strconv.Itoa(p.Port))
+		x = &peer{ip: ip, client: nodev1connect.NewNodeServiceClient(p.HTTP, base)}
+		p.known[ip] = x
+	}
+	return x
+}
+
+// Client returns the client of a peer.
+func (p *Peers) Client(ip string) nodev1connect.NodeServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(ip).client
+}
+
+// sorted returns the peers, those that failed longest ago first.
+func (p *Peers) sorted() []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*peer, 0, len(p.known))
+	for _, x := range p.known {
+		all = append(all, x)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if !all[i].failed.Equal(all[j].failed) {
+			return all[i].failed.Before(all[j].failed)
+		}
+		return all[i].ip < all[j].ip
+	})
+	return all
+}
+
+func (p *Peers) note(x *peer, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		x.failed = time.Now()
+		return
+	}
+	x.failed = time.Time{}
+}
+
+// Relays implements path.Relays.
+func (p *Peers) Relays() []path.Access {
+	var all []path.Access
+	for _, x := range p.sorted() {
+		all = append(all, &relay{peers: p, peer: x})
+	}
+	return all
+}
+
+// leadTimeout bounds the question who plans.
+const leadTimeout = 400 * time.Millisecond
+
+// Lead asks peers who holds the planner lock and returns the newest answer.
+func (p *Peers) Lead(ctx context.Context) (*nodev1.LeadResponse, error) {
+	var last error = fault.New(fault.Unreachable, "no peer is known")
+	for i, x := range p.sorted() {
+		if i >= 2 {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, leadTimeout)
+		r, err := x.client.Lead(callCtx, &nodev1.LeadRequest{})
+		cancel()
+		p.note(x, err)
+		if err == nil && r.GetRevision() > 0 {
+			return r, nil
+		}
+		last = err
+	}
+	return nil, fault.Wrap(fault.Unreachable, last, "lead")
+}
+
+// relay reaches the store through a peer.
+type relay struct {
+	peers *Peers
+	peer  *peer
+}
+
+// failed tells a peer that could not be asked from one that was turned away.
+func (r *relay) failed(err error) error {
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		r.peers.note(r.peer, err)
+		return fault.Wrap(fault.StoreUnavailable, err, "relay")
+	}
+	r.peers.note(r.peer, err)
+	return fault.Wrap(fault.Unreachable, err, "relay")
+}
+
+func (r *relay) Get(ctx context.Context, key string) (store.Item, bool, error) {
+	a, err := r.peer.client.RelayGet(ctx, &nodev1.RelayGetRequest{Key: key})
+	if err != nil {
+		return store.Item{}, false, r.failed(err)
+	}
+	r.peers.note(r.peer, nil)
+	return fromItem(a.GetItem()), a.GetFound(), nil
+}
+
+func (r *relay) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	a, err := r.peer.client.RelayRange(ctx, &nodev1.RelayRangeRequest{Prefix: prefix})
+	if err != nil {
+		return nil, 0, r.failed(err)
+	}
+	r.peers.note(r.peer, nil)
+	return fromItems(a.GetItems()), a.GetAt(), nil
+}
+
+func (r *relay) Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error) {
+	in := &nodev1.RelayApplyRequest{Removes: t.Removes}
+	for _, c := range t.Conditions {
+		in.Conditions = append(in.Conditions, &nodev1.Condition{Key: c.Key, Revision: c.Revision})
+	}
+	for _, p := range t.Puts {
+		in.Puts = append(in.Puts, &nodev1.Item{Key: p.Key, Value: p.Value})
+	}
+	a, err := r.peer.client.RelayApply(ctx, in)
+	if err != nil {
+		r.peers.note(r.peer, err)
+		return 0, nil, fault.Wrap(fault.AnswerLost, err, "relay")
+	}
+	r.peers.note(r.peer, nil)
+	switch {
+	case a.GetUnavailable():
+		return 0, nil, fault.New(fault.StoreUnavailable, "the peer is turned away too")
+	case a.GetConflict():
+		return 0, fromItems(a.GetCurrent()), fault.New(fault.Conflict, "a condition did not hold")
+	}
+	return a.GetRevision(), nil, nil
+}
+
+func fromItem(i *nodev1.Item) store.Item {
+	return store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Created: i.GetCreated()}
+}
+
+func fromItems(all []*nodev1.Item) []store.Item {
+	out := make([]store.Item, len(all))
+	for i, it := range all {
+		out[i] = fromItem(it)
+	}
+	return out
+}
+
+func toItem(i store.Item) *nodev1.Item {
+	return &nodev1.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created}
+}
+
+func toItems(all []store.Item) []*nodev1.Item {
+	out := make([]*nodev1.Item, len(all))
+	for i, it := range all {
+		out[i] = toItem(it)
+	}
+	return out
+}
