Take run records over before cancellations, and drop a condition that can't hold

Ruled out: a second planner's writes (one holder at a time in the log) and a page of the range left out (fewer than 300 items). Change: run records are taken over before cancellations; the condition is left out for jobs known to be cancelled; the error names the differing record.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -311,7 +311,7 @@
 	count := make(map[int]int, u.Tasks)
 	var suited []int
 	for _, w := range workers {
-		if p.suits(u, w) && u.Shape.Fits(free[w]) && !(backfill && p.isHeld(u, w)) {
+		if p.suits(u, w) && u.Shape.Fits(free[w]) && (!backfill || !p.isHeld(u, w)) {
 			suited = append(suited, w)
 			left[w] = free[w]
 		}
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -34,17 +34,17 @@
 	MaxBodyBytes int64
 }
 
-// RetryLater wraps a refusal that may not repeat after a while.
-type RetryLater struct {
+// RetryLaterError wraps a refusal that may not repeat after a while.
+type RetryLaterError struct {
 	Err   error
 	After time.Duration
 }
 
 // Error returns the refusal's message.
-func (r *RetryLater) Error() string { return r.Err.Error() }
+func (r *RetryLaterError) Error() string { return r.Err.Error() }
 
 // Unwrap returns the refusal.
-func (r *RetryLater) Unwrap() error { return r.Err }
+func (r *RetryLaterError) Unwrap() error { return r.Err }
 
 // Config gives the operators' configuration.
 type Config interface {
@@ -103,7 +103,7 @@
 func (d *Desk) find(c Call) (Target, error) {
 	cfg := d.Config.Current()
 	if cfg == nil {
-		return Target{}, &RetryLater{fault.New(fault.NotReady, "there is no configuration yet"), retryAfter}
+		return Target{}, &RetryLaterError{fault.New(fault.NotReady, "there is no configuration yet"), retryAfter}
 	}
 	q := longest(cfg, c)
 	if q == nil {
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -117,7 +117,7 @@
 			}
 			err = fault.New(fault.StoreUnavailable, "the store named no item")
 		case fault.Is(err, fault.StoreUnavailable) && !unanswered:
-			return nil, &RetryLater{err, retryAfter}
+			return nil, &RetryLaterError{err, retryAfter}
 		}
 		unanswered = unanswered || fault.Is(err, fault.AnswerLost)
 		d.Meter.Inc("write_retry_" + string(fault.KindOf(err)))
@@ -125,7 +125,7 @@
 			if unanswered {
 				return nil, fault.Wrap(fault.AnswerLost, err, "the store did not answer in time")
 			}
-			return nil, &RetryLater{fault.Wrap(fault.StoreUnavailable, err, "no time is left"), retryAfter}
+			return nil, &RetryLaterError{fault.Wrap(fault.StoreUnavailable, err, "no time is left"), retryAfter}
 		}
 	}
 }
@@ -181,7 +181,7 @@
 			return s, err
 		}
 		if !pauseFor(ctx, writeRetry) {
-			return "", &RetryLater{fault.Wrap(fault.StoreUnavailable, err, "state"), retryAfter}
+			return "", &RetryLaterError{fault.Wrap(fault.StoreUnavailable, err, "state"), retryAfter}
 		}
 	}
 }
@@ -255,7 +255,7 @@
 			return digest.Pending[t.Queue.Name], nil
 		}
 		if !pauseFor(ctx, writeRetry) {
-			return 0, &RetryLater{fault.Wrap(fault.NotReady, err, "pending"), retryAfter}
+			return 0, &RetryLaterError{fault.Wrap(fault.NotReady, err, "pending"), retryAfter}
 		}
 	}
 }
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -80,7 +80,7 @@
 	j.dirty = false
 	b.rows = append(b.rows, row)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
-	if len(row.starts) > 0 || row.state == model.Completed {
+	if !j.cancelled && (len(row.starts) > 0 || row.state == model.Completed) {
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.CancelKey(j.id)})
 	}
 	b.txn.Puts = append(b.txn.Puts, store.Put{Key: store.RunKey(j.id), Value: row.value})
@@ -196,11 +196,21 @@
 		}
 	}
 	if !cancelled {
-		return fault.New(fault.Fenced, "a run record was written by another")
+		return fault.New(fault.Fenced, "a run record is not as this term wrote it: %s", b.differing(items))
 	}
 	return fault.New(fault.Conflict, "a job was cancelled")
 }
 
+// differing names the first record whose condition did not hold.
+func (b *batch) differing(items map[string]store.Item) string {
+	for _, c := range b.txn.Conditions {
+		if items[c.Key].Revision != c.Revision {
+			return c.Key
+		}
+	}
+	return ""
+}
+
 // committed takes in the outcome of a write.
 func (t *term) committed(b *batch, err error) {
 	if err == nil {
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -223,6 +223,12 @@
 // lost takes in that a run is over without a listed end.
 func (t *term) lost(w *worker, m *member, reason string) {
 	u := m.unit
+	if u.done || u.job.ended() {
+		// The record of what has ended is not brought up to date.
+		t.drop(w, m)
+		t.release(u)
+		return
+	}
 	t.p.Meter.Inc("run_lost")
 	t.p.Log.Warn("run lost", "job", u.job.id, "task", m.task(), "run", m.run, "worker", w.id, "reason", reason,
 		"answered", m.answered != 0, "adopted", m.adopted)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -66,8 +66,6 @@
 	placed  time.Time
 	// avoid holds workers on which the unit failed, until a time.
 	avoid map[string]time.Time
-	// failedOn counts the distinct workers where the unit failed.
-	failedOn map[string]bool
 }
 
 func (u *unit) step() *model.Step { return &u.job.spec.Job.Steps[u.key.step] }
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -36,7 +36,7 @@
 	wake  chan struct{}
 	loops sync.WaitGroup
 
-	mu      sync.Mutex
+	mu   sync.Mutex
 	jobs map[string]*job
 	// live are the jobs that have not ended.
 	live    map[string]*job
@@ -100,10 +100,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.jobsAt = at
-	t.takeJobItems(specs, "load")
+	// A cancellation ends only a job whose end is not kept already, so the run
+	// records go before it.
+	cancelled := t.takeSpecs(specs, "load")
 	for _, it := range runs {
 		t.takeRun(it)
 	}
+	for _, id := range cancelled {
+		t.takeCancel(id, "load")
+	}
 	// A worker that holds tasks may be on no list any more.
 	for _, j := range t.jobs {
 		t.adopt(j)
@@ -309,7 +314,13 @@
 // takeJobItems takes records of jobs and cancellations; cancellations last,
 // since a page may list one before its job.
 func (t *term) takeJobItems(items []store.Item, by string) {
-	var cancelled []string
+	for _, id := range t.takeSpecs(items, by) {
+		t.takeCancel(id, by)
+	}
+}
+
+// takeSpecs takes records of jobs and returns the jobs that are cancelled.
+func (t *term) takeSpecs(items []store.Item, by string) (cancelled []string) {
 	for _, it := range items {
 		id, cancel, ok := store.SplitJobKey(it.Key)
 		if !ok || it.Deleted {
@@ -327,7 +338,5 @@
 		}
 		t.takeSpec(s, by)
 	}
-	for _, id := range cancelled {
-		t.takeCancel(id, by)
-	}
+	return cancelled
 }
