Count a failed member after others of its gang ended as broken

Ruled out: ends given up with a lapsed lease (all were listed). Change: a failure is counted once for each run.

--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -162,7 +162,10 @@
 	if u.done {
 		return
 	}
-	if !u.breaking {
+	// Several members of a gang may fail in one run, after others have ended as
+	// broken.
+	if u.failedRun != e.Run {
+		u.failedRun = e.Run
 		u.failures++
 	}
 	t.broken(u)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -51,8 +51,10 @@
 	// run is the highest run that was placed.
 	run      int64
 	failures int
-	saved    string
-	done     bool
+	// failedRun is the last run that was counted as a failure.
+	failedRun int64
+	saved     string
+	done      bool
 	// members are the tasks that hold room or may; none while the unit waits.
 	members []*member
 	// breaking says that the run has failed as a whole: what is left of it is
