Count an answered stop from its first answer, and hear workers before pre-empting

A new term also pre-empted on the few workers that it had heard of first. A line explains what waits long.

--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -165,10 +165,13 @@
 		err := client.Stop(ctx, task, run, token)
 		if err != nil {
 			t.p.Meter.Inc("stop_" + string(fault.KindOf(err)))
+			t.p.Log.Info("stop not carried out", "job", task.Job, "task", task, "run", run, "worker", m.worker, "error", err)
 			return
 		}
 		t.mu.Lock()
-		m.voided = boottime.Now()
+		if m.voided == 0 {
+			m.voided = boottime.Now()
+		}
 		t.mu.Unlock()
 	})
 }
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/order"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -43,7 +44,8 @@
 func (t *term) plan(now time.Time) {
 	t.refreshQueues()
 	v := t.view(now)
-	if len(v.waiting) == 0 {
+	t.explainLong(v, now)
+	if len(v.waiting) == 0 || t.settling() {
 		return
 	}
 	d := placement.Plan(v.in)
@@ -58,6 +60,31 @@
 	}
 }
 
+const (
+	// settleTime bounds the pause at the start of a term in which workers are
+	// heard of; placing on the first few would pre-empt for nothing.
+	settleTime = 500 * time.Millisecond
+	// settledShare is the share of the workers that ends that pause.
+	settledShare = 0.9
+)
+
+// settling reports whether the term has not heard of most workers yet.
+func (t *term) settling() bool {
+	if boottime.Since(t.began) > settleTime {
+		return false
+	}
+	listed, heard := 0, 0
+	for _, w := range t.workers {
+		if w.listed {
+			listed++
+		}
+		if w.listed && w.heard {
+			heard++
+		}
+	}
+	return listed == 0 || float64(heard) < settledShare*float64(listed)
+}
+
 // refreshQueues takes the queues of the newest configuration.
 func (t *term) refreshQueues() {
 	c := t.p.Config.Current()
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -47,6 +47,8 @@
 	behind []*job
 	// configVersion is that of the queues of the live jobs.
 	configVersion int64
+	// explainedAt is when the units that wait long were last explained.
+	explainedAt time.Time
 	// keepAfter delays the next write after the store refused one.
 	keepAfter time.Time
 	// jobsAt is the store's revision up to which jobs are known.
