Check an answer by the configuration that is in force when it is given

Change: answers are checked again when they are given; a configuration older than 2 s, counting suspension, is read again before it serves.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -24,6 +24,7 @@
 
 // Target is what a call is about.
 type Target struct {
+	Call  Call
 	Queue model.Queue
 	// Account is empty for a public queue called without a key.
 	Account string
@@ -83,23 +84,39 @@
 // refreshTimeout bounds the reading of the configuration before a refusal.
 const refreshTimeout = 800 * time.Millisecond
 
+// maxAge is the age from which a configuration is read again before any call is
+// served by it: the VM was suspended or cut off.
+const maxAge = 2 * time.Second
+
 // Find returns the queue and job that a call is about. A call is refused only
 // by a configuration that was read just now, as far as the store can be
 // reached.
 func (d *Desk) Find(ctx context.Context, c Call) (Target, error) {
 	t, err := d.find(c)
-	if err == nil || d.Config.Age() < follow.Fresh {
+	age := d.Config.Age()
+	if err == nil && age < maxAge || age < follow.Fresh {
 		return t, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if refreshErr := d.Config.Refresh(ctx); refreshErr != nil {
-		d.Meter.Inc("refusal_by_older_config")
-		d.Log.Warn("refused by a configuration that could not be read again", "host", c.Host, "age_ms", d.Config.Age().Milliseconds(), "error", refreshErr)
+		d.Meter.Inc("served_by_older_config")
+		d.Log.Warn("configuration could not be read again", "host", c.Host, "age_ms", d.Config.Age().Milliseconds(), "error", refreshErr)
 	}
 	return d.find(c)
 }
 
+// recheck refuses an answer that a newer configuration, which came into force
+// meanwhile, does not allow: no call may be answered by an older configuration
+// after another was answered by a newer one.
+func (d *Desk) recheck(t *Target) error {
+	if cfg := d.Config.Current(); cfg.Version == t.Version {
+		return nil
+	}
+	_, err := d.find(t.Call)
+	return err
+}
+
 func (d *Desk) find(c Call) (Target, error) {
 	cfg := d.Config.Current()
 	if cfg == nil {
@@ -109,7 +126,7 @@
 	if q == nil {
 		return Target{}, fault.New(fault.NotFound, "no queue at this host and path (version %d)", cfg.Version)
 	}
-	t := Target{Queue: *q, JobID: strings.TrimPrefix(c.Path, q.Prefix), Version: cfg.Version, MaxBodyBytes: cfg.MaxBodyBytes}
+	t := Target{Call: c, Queue: *q, JobID: strings.TrimPrefix(c.Path, q.Prefix), Version: cfg.Version, MaxBodyBytes: cfg.MaxBodyBytes}
 	a := cfg.AccountOf(c.Key)
 	if a == nil && !q.Public {
 		return Target{}, fault.New(fault.Unauthorized, "the key is not known (version %d)", cfg.Version)
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.recheck(&t); err != nil {
+		return err
+	}
 	known, err := d.write(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: store.SpecKey(j.ID)}},
 		Puts:       []store.Put{{Key: store.SpecKey(j.ID), Value: value}},
@@ -170,15 +173,18 @@
 	s, known, err := d.Planner.State(askCtx, t.JobID)
 	cancel()
 	if err == nil && known {
-		return s, nil
+		return s, d.recheck(&t)
 	}
 	if err != nil {
 		d.Meter.Inc("state_from_store")
 	}
 	for {
 		s, err := d.stored(ctx, t.JobID)
-		if err == nil || fault.Is(err, fault.JobUnknown) {
-			return s, err
+		if err == nil {
+			return s, d.recheck(&t)
+		}
+		if fault.Is(err, fault.JobUnknown) {
+			return "", err
 		}
 		if !pauseFor(ctx, writeRetry) {
 			return "", &RetryLaterError{fault.Wrap(fault.StoreUnavailable, err, "state"), retryAfter}
@@ -252,7 +258,7 @@
 	for {
 		digest, err := d.freshDigest(ctx)
 		if err == nil {
-			return digest.Pending[t.Queue.Name], nil
+			return digest.Pending[t.Queue.Name], d.recheck(&t)
 		}
 		if !pauseFor(ctx, writeRetry) {
 			return 0, &RetryLaterError{fault.Wrap(fault.NotReady, err, "pending"), retryAfter}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
@@ -43,8 +44,8 @@
 	Meter *meter.Meter
 
 	current atomic.Pointer[model.Config]
-	// confirmed is when the read that last confirmed the configuration began,
-	// in Unix nanoseconds.
+	// confirmed is when the read that last confirmed the configuration began;
+	// suspension of the VM counts. Zero before.
 	confirmed atomic.Int64
 	mu        sync.Mutex
 	reading   *reading
@@ -67,7 +68,7 @@
 	if at == 0 {
 		return time.Duration(1<<63 - 1)
 	}
-	return time.Since(time.Unix(0, at))
+	return boottime.Since(boottime.Time(at))
 }
 
 // Run reads the configuration again and again until ctx ends.
@@ -106,13 +107,13 @@
 func (f *Follower) read(ctx context.Context, r *reading) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	began := time.Now()
+	began := boottime.Now()
 	it, found, err := f.Store.Get(ctx, f.Key)
 	if err == nil && found {
 		f.take(it)
 	}
 	if err == nil {
-		f.confirmed.Store(began.UnixNano())
+		f.confirmed.Store(int64(began))
 	} else {
 		f.Meter.Inc("config_read_failed")
 	}
