--- a/internal/core/boottime/boottime.go
+++ b/internal/core/boottime/boottime.go
@@ -11,8 +11,17 @@
 // Time is a time since the machine started; suspension counts.
 type Time time.Duration
 
+// source reads the clock.
+var source = kernel
+
+// SetSource replaces the clock, for tests whose time is not the machine's. It is
+// called before anything reads the clock.
+func SetSource(f func() Time) { source = f }
+
 // Now returns the present time.
-func Now() Time {
+func Now() Time { return source() }
+
+func kernel() Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		// The clock is there on every kernel that Go supports.
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -53,6 +53,9 @@
 		return nil
 	}
 	b := &batch{txn: store.Txn{Conditions: []store.Condition{{Key: store.LockKey, Revision: t.revision}}}}
+	if t.p.off.lockCondition {
+		b.txn.Conditions = nil
+	}
 	n := min(len(t.behind), batchJobs)
 	for _, j := range t.behind[:n] {
 		t.addRow(b, j)
@@ -79,7 +82,9 @@
 	}
 	j.dirty = false
 	b.rows = append(b.rows, row)
-	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
+	if !t.p.off.lockCondition {
+		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
+	}
 	if !j.cancelled && (len(row.starts) > 0 || row.state == model.Completed) {
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.CancelKey(j.id)})
 	}
@@ -190,7 +195,8 @@
 	}
 	cancelled := false
 	for _, row := range b.rows {
-		if _, ok := items[store.CancelKey(row.job.id)]; ok && !row.job.cancelled {
+		// The watch may have told of it since the write was made up.
+		if _, ok := items[store.CancelKey(row.job.id)]; ok {
 			t.takeCancel(row.job.id, "condition")
 			cancelled = true
 		}
--- a/internal/fleet/planner/explain.go
+++ b/internal/fleet/planner/explain.go
@@ -23,19 +23,7 @@
 		return
 	}
 	t.explainedAt = now
-	var units []*unit
-	for _, j := range t.live {
-		for _, u := range j.order {
-			since := u.readyAt
-			if u.breaking {
-				since = u.placed
-			}
-			if !u.done && !since.IsZero() && now.Sub(since) > longWait && (u.breaking || len(u.members) == 0) {
-				units = append(units, u)
-			}
-		}
-	}
-	sort.Slice(units, func(a, b int) bool { return units[a].before(units[b]) })
+	units := t.longWaiting(now)
 	open := 0
 	for i := range v.in.Workers {
 		if v.in.Workers[i].Open {
@@ -56,6 +44,25 @@
 	}
 }
 
+// longWaiting returns the units that have waited or stopped for long, the oldest
+// first.
+func (t *term) longWaiting(now time.Time) []*unit {
+	var units []*unit
+	for _, j := range t.live {
+		for _, u := range j.order {
+			since := u.readyAt
+			if u.breaking {
+				since = u.placed
+			}
+			if !u.done && !since.IsZero() && now.Sub(since) > longWait && (u.breaking || len(u.members) == 0) {
+				units = append(units, u)
+			}
+		}
+	}
+	sort.Slice(units, func(a, b int) bool { return units[a].before(units[b]) })
+	return units
+}
+
 // silent returns how long a worker has not been heard of.
 func (t *term) silent(w *worker) time.Duration {
 	if w == nil || w.recv == 0 {
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -62,23 +62,33 @@
 			return
 		}
 		if settled(err, unanswered) {
-			t.refused(m, err)
+			t.refused(m, err, unanswered)
 			return
 		}
 		unanswered = unanswered || fault.Is(err, fault.AnswerLost)
-		if boottime.Now() >= until {
+		if boottime.Now() >= until || t.isStopping(m) {
 			break
 		}
 		pause(t.ctx, orderRetry)
+		if t.isStopping(m) {
+			break
+		}
 	}
-	t.unanswered(m)
+	t.unanswered(m, unanswered)
+}
+
+func (t *term) isStopping(m *member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return m.stopping
 }
 
 // orderRetry is the pause between two attempts of an order.
 const orderRetry = 30 * time.Millisecond
 
-// settled reports whether a refusal proves that the run does not begin. After
-// an attempt without an answer only those do that refuse the earlier one too.
+// settled reports whether a refusal proves that the run does not begin any
+// more. After an attempt without an answer only those do that refuse the
+// earlier one too; it may have begun before.
 func settled(err error, unanswered bool) bool {
 	switch fault.KindOf(err) {
 	case fault.Fenced, fault.Deadline, fault.Conflict:
@@ -101,7 +111,9 @@
 	}
 }
 
-func (t *term) refused(m *member, err error) {
+// refused takes in a refusal. After an attempt without an answer the worker's
+// next list tells whether that one began.
+func (t *term) refused(m *member, err error, unanswered bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.starting = false
@@ -114,7 +126,12 @@
 	case fault.Is(err, fault.NotStarted) && w != nil:
 		t.closeWorker(w, "refuses starts", unhealthyTime)
 	}
-	t.forgo(m, "refused")
+	if unanswered && !m.gone {
+		m.voided = boottime.Now()
+		t.broken(m.unit)
+	} else {
+		t.forgo(m, "refused")
+	}
 	t.poke()
 }
 
@@ -134,14 +151,20 @@
 }
 
 // unanswered stops a run that may or may not have begun. A stop that is
-// answered keeps it from beginning later.
-func (t *term) unanswered(m *member) {
+// answered keeps it from beginning later. A run of which nothing was sent is
+// given up.
+func (t *term) unanswered(m *member, sent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.starting = false
 	if m.gone || t.ctx.Err() != nil {
 		return
 	}
+	if !sent {
+		t.forgo(m, "could not be sent")
+		t.poke()
+		return
+	}
 	t.p.Log.Warn("start not answered", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker)
 	t.broken(m.unit)
 	t.stop(m)
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -393,6 +393,11 @@
 		w.members[runKey{m.task(), m.run}] = m
 	}
 	t.touch(u.job)
+	if t.p.off.placementFirst {
+		for _, m := range u.members {
+			t.start(m)
+		}
+	}
 	t.p.Meter.Inc("placed")
 	t.p.Meter.Time("queue_wait_time", now.Sub(u.readyAt))
 	t.p.Log.Info("placed", "job", u.job.id, "step", u.key.step, "index", u.key.index, "run", u.run, "tasks", len(s.Workers),
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -33,16 +33,39 @@
 	Log          *slog.Logger
 	Meter        *meter.Meter
 
+	off guards
+
 	mu   sync.Mutex
 	term *term
 }
 
+// guards are the rules of the run protocol that tests turn off, one by one, to
+// show their worth.
+type guards struct {
+	// lockCheck: nothing is sent while the lock may be lost.
+	lockCheck bool
+	// lockCondition: writes have a condition on the lock and on the records.
+	lockCondition bool
+	// placementFirst: a placement is kept before its start is sent.
+	placementFirst bool
+	// token: orders carry a token that rises with each term.
+	token bool
+	// leaseWait: what stood on a silent worker is free when its lease is over.
+	leaseWait bool
+	// endFirst: an end is kept before the worker forgets it.
+	endFirst bool
+}
+
 // Lead plans for one term. It returns when ctx ends or when the term can't go
 // on, to give the lock up.
 func (p *Planner) Lead(ctx context.Context, l lock.Term) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := newTerm(ctx, cancel, p, l.Revision, l.Valid)
+	valid := l.Valid
+	if p.off.lockCheck {
+		valid = func() bool { return true }
+	}
+	t := newTerm(ctx, cancel, p, l.Revision, valid)
 	p.Log.Info("planner term begins", "term", l.Revision)
 	if err := t.load(); err != nil {
 		p.Log.Warn("planner term ends", "term", l.Revision, "reason", "the store could not be read", "error", err)
--- /dev/null
+++ b/internal/fleet/planner/scene_test.go
@@ -0,0 +1,169 @@
+package planner_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
+)
+
+// TestMain lets the clock of leases follow the time of the test.
+func TestMain(m *testing.M) {
+	epoch := time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC)
+	boottime.SetSource(func() boottime.Time { return boottime.Time(time.Since(epoch)) })
+	os.Exit(m.Run())
+}
+
+var sceneBounds = world.Bounds{MaxHold: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second}
+
+// scene is a world with VMs that plan.
+type scene struct {
+	t     testing.TB
+	world *world.World
+	// workers is their number; each has 8 accelerators.
+	workers int
+	rng     *rand.Rand
+	config  *config
+	off     func(p *planner.Planner)
+	stop    map[string]context.CancelFunc
+	done    map[string]chan struct{}
+	plan    map[string]*planner.Planner
+	ids     []string
+	cancel  context.CancelFunc
+	ran     chan struct{}
+}
+
+// config is a configuration that stays.
+type config struct{ c *model.Config }
+
+func (c *config) Current() *model.Config               { return c.c }
+func (c *config) AtLeast(context.Context, int64) error { return nil }
+
+var queues = []model.Queue{
+	{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Aim: 500 * time.Millisecond},
+	{Name: "solve", Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 3, Aim: time.Second},
+	{Name: "render", Service: "svc", Priority: 2, MaxAttempts: 2, Stretch: 3, Aim: 3 * time.Second},
+}
+
+func newScene(t testing.TB, seed uint64, workers int) *scene {
+	s := &scene{
+		t: t, workers: workers, world: world.New(seed, workers, sceneBounds), rng: rand.New(rand.NewPCG(seed, 7)),
+		config: &config{&model.Config{Version: 1, Queues: queues, Accounts: []model.Account{{Name: "acme", Guaranteed: int64(4 * workers)}}}},
+		stop:   make(map[string]context.CancelFunc), done: make(map[string]chan struct{}), plan: make(map[string]*planner.Planner),
+		ran: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go func() {
+		defer close(s.ran)
+		s.world.Run(ctx)
+	}()
+	return s
+}
+
+func logger() *slog.Logger {
+	out := os.Stderr
+	if os.Getenv("SCENE_LOG") == "" {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
+// start starts a VM.
+func (s *scene) start(vm string) {
+	log, m := logger().With("vm", vm), &meter.Meter{}
+	view := &world.View{Store: s.world.Store, Link: s.world.Link(vm, "store")}
+	p := &planner.Planner{
+		Store: view, Config: s.config, WorkerPrefix: world.WorkerPrefix, DecodeWorker: world.DecodeWorker,
+		Dial: s.world.Dial(vm), Log: log, Meter: m,
+		Bounds: model.Bounds{MaxHold: sceneBounds.MaxHold, StopTimeout: sceneBounds.StopTimeout, GangTimeout: sceneBounds.GangTimeout},
+	}
+	if s.off != nil {
+		s.off(p)
+	}
+	l := &lock.Lock{Store: view, Self: lock.Holder{VMID: vm, IP: vm}, Log: log, Meter: m}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop[vm], s.done[vm], s.plan[vm] = cancel, make(chan struct{}), p
+	done := s.done[vm]
+	go func() {
+		defer close(done)
+		l.Run(ctx, p.Lead)
+	}()
+}
+
+// kill ends a VM; its lock runs out by itself.
+func (s *scene) kill(vm string) {
+	s.link(vm, "store").Cut(true)
+	s.stop[vm]()
+	<-s.done[vm]
+	s.link(vm, "store").Cut(false)
+}
+
+func (s *scene) link(vm, to string) *world.Link { return s.world.Link(vm, to) }
+
+// close ends all VMs and the world.
+func (s *scene) close() {
+	for vm, stop := range s.stop {
+		s.link(vm, "store").Resume()
+		stop()
+		<-s.done[vm]
+	}
+	s.cancel()
+	<-s.ran
+}
+
+// submit hands a job in.
+func (s *scene) submit(id, queue string, runtime time.Duration, steps ...model.Step) {
+	q := model.Queue{}
+	for _, x := range queues {
+		if x.Name == queue {
+			q = x
+		}
+	}
+	for i := range steps {
+		steps[i].Estimate = runtime
+	}
+	s.world.Submit(world.Job{Runtime: runtime, Spec: planner.Spec{
+		Job:   model.Job{ID: id, Specification: "spec " + id, Steps: steps},
+		Queue: q, Account: "acme", AcceptedMS: time.Now().UnixMilli(), ConfigVersion: 1,
+	}})
+	s.ids = append(s.ids, id)
+}
+
+// step returns a step of tasks with a number of accelerators.
+func step(tasks int, accelerators int64, gang bool) model.Step {
+	return model.Step{Tasks: tasks, Gang: gang, Shape: model.Shape{MilliCPU: 1000, MemoryMB: 1000, Accelerators: accelerators}}
+}
+
+// await waits until all jobs have ended, and returns those that have not.
+func (s *scene) await(limit time.Duration) []string {
+	var open []string
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		open = open[:0]
+		for _, id := range s.ids {
+			if !s.world.State(id).Ended() {
+				open = append(open, id)
+			}
+		}
+		if len(open) == 0 {
+			return nil
+		}
+	}
+	return open
+}
+
+// bubble runs f with a time of its own.
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -146,6 +146,9 @@
 	clock     time.Duration
 	recv      boottime.Time
 	heldUntil time.Duration
+	// bornSeen is when this term saw the present life begin; zero for a life
+	// that was there before.
+	bornSeen boottime.Time
 	// seen is the last end that was taken in, and kept the last that is in the
 	// store as well.
 	seen, kept int64
@@ -186,7 +189,8 @@
 // leaseOver returns the time at which nothing that was placed on the worker can
 // run any more, if it is not heard of again.
 func (w *worker) leaseOver(began boottime.Time, maxHold time.Duration) boottime.Time {
-	over := began.Add(time.Duration(float64(maxHold)/clockRate) + leaseSlack)
+	// What was sent before the life was seen may have begun in it.
+	over := max(began, w.bornSeen).Add(time.Duration(float64(maxHold)/clockRate) + leaseSlack)
 	if w.recv != 0 && w.heldUntil > w.clock {
 		over = max(over, w.recv.Add(time.Duration(float64(w.heldUntil-w.clock)/clockRate)+leaseSlack))
 	}
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -176,7 +176,7 @@
 	w := t.workers[id]
 	if w == nil {
 		w = &worker{
-			id: id, token: t.revision << tokenShift, members: make(map[runKey]*member),
+			id: id, token: t.firstToken(), members: make(map[runKey]*member),
 			strangers: make(map[runKey]model.Shape), failures: make(map[string]bool), wake: make(chan struct{}, 1),
 			unlistedAt: time.Now(),
 		}
@@ -185,6 +185,14 @@
 	return w
 }
 
+// firstToken returns the token of the first orders of the term.
+func (t *term) firstToken() int64 {
+	if t.p.off.token {
+		return 1
+	}
+	return t.revision << tokenShift
+}
+
 // run plans until the term ends.
 func (t *term) run() {
 	defer t.loops.Wait()
@@ -233,7 +241,7 @@
 	now := boottime.Now()
 	for _, w := range t.workers {
 		silent := w.client == nil || w.failing || !w.heard
-		if len(w.members) == 0 || !silent || now < w.leaseOver(t.began, t.p.Bounds.MaxHold) {
+		if len(w.members) == 0 || !silent || now < w.leaseOver(t.began, t.p.Bounds.MaxHold) && !t.p.off.leaseWait {
 			continue
 		}
 		for _, m := range w.sorted() {
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -142,11 +142,16 @@
 // holdOrder returns the next hold for a worker.
 func (t *term) holdOrder(w *worker, now boottime.Time) HoldOrder {
 	o := HoldOrder{Token: w.token, LastSeen: w.kept}
+	if w.failing {
+		// A new life may answer, whose ends have the same numbers.
+		o.LastSeen = 0
+	}
+	if t.p.off.endFirst {
+		o.LastSeen = w.seen
+	}
 	if w.recv == 0 || !w.heard || w.failing {
-		if w.recv != 0 && w.heard {
-			o.Deadline = w.now(now) + min(holdLease, t.p.Bounds.MaxHold)
-			w.heldUntil = max(w.heldUntil, o.Deadline)
-		}
+		// A hold that may not be answered must not put off the time at which the
+		// leases of a silent worker are over.
 		return o
 	}
 	o.Deadline = w.now(now) + min(holdLease, t.p.Bounds.MaxHold)
@@ -203,7 +208,7 @@
 func (t *term) reborn(w *worker, born int64) {
 	t.p.Log.Warn("worker started anew", "worker", w.id, "born", born, "before", w.born, "runs", len(w.members))
 	t.p.Meter.Inc("worker_reborn")
-	w.born, w.heard = born, false
+	w.born, w.heard, w.bornSeen = born, false, boottime.Now()
 	w.token++
 	w.seen, w.kept, w.heldUntil = 0, 0, 0
 	clear(w.strangers)
--- /dev/null
+++ b/internal/standin/world/link.go
@@ -0,0 +1,148 @@
+// Package world is a platform in memory for tests: a store with leases, watches
+// and compaction, workers with leases, fences and ends, and links between them
+// that lose, delay and cut. It notes what breaks the promises of the product.
+package world
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+)
+
+// Faults says how likely a call on a link goes wrong; each is a share of 1.
+type Faults struct {
+	// Refuse answers without doing anything.
+	Refuse float64
+	// Lose does what was asked and loses the answer.
+	Lose float64
+	// Late does what was asked seconds later and gives no answer.
+	Late float64
+}
+
+// Link is the way from one VM to the store or to a worker.
+type Link struct {
+	rng *rand.Rand
+
+	mu     sync.Mutex
+	faults Faults
+	cut    bool
+	// resume is closed when a paused link goes on; nil when it is not paused.
+	resume chan struct{}
+	// late counts the calls that are still to be carried out.
+	late *sync.WaitGroup
+}
+
+const (
+	// maxLatency is the longest way of a call that goes well.
+	maxLatency = 15 * time.Millisecond
+	// maxLate is the longest time after which a late call is carried out.
+	maxLate = 4 * time.Second
+)
+
+// Set sets the faults of the link.
+func (l *Link) Set(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Cut cuts the link or heals it.
+func (l *Link) Cut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+// Pause holds calls back until Resume, as a suspended VM does.
+func (l *Link) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.resume == nil {
+		l.resume = make(chan struct{})
+	}
+}
+
+// Resume lets calls go on.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.resume != nil {
+		close(l.resume)
+		l.resume = nil
+	}
+}
+
+// draw is what happens to one call.
+type draw struct {
+	cut, refuse, lose, late bool
+	there, back, delay      time.Duration
+	resume                  chan struct{}
+}
+
+func (l *Link) draw() draw {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.rng.Float64()
+	f := l.faults
+	d := draw{
+		cut: l.cut, resume: l.resume,
+		there: time.Duration(l.rng.Int64N(int64(maxLatency))), back: time.Duration(l.rng.Int64N(int64(maxLatency))),
+		delay: time.Duration(l.rng.Int64N(int64(maxLate))),
+	}
+	switch {
+	case x < f.Refuse:
+		d.refuse = true
+	case x < f.Refuse+f.Lose:
+		d.lose = true
+	case x < f.Refuse+f.Lose+f.Late:
+		d.late = true
+	}
+	return d
+}
+
+// call carries a call. refused is the error of a call that is refused. A call
+// that is carried out late waits at the other end; life names what it ends with.
+func (l *Link) call(ctx context.Context, refused fault.Kind, life func() int64, do func(ctx context.Context)) error {
+	d := l.draw()
+	if d.resume != nil {
+		<-d.resume
+	}
+	lost := func() error {
+		<-ctx.Done()
+		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no answer")
+	}
+	switch {
+	case d.cut:
+		return lost()
+	case d.refuse:
+		return fault.New(refused, "refused")
+	case d.late:
+		at := life()
+		l.late.Go(func() {
+			time.Sleep(d.delay)
+			if life() != at {
+				return
+			}
+			lateCtx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			defer cancel()
+			do(lateCtx)
+		})
+		return lost()
+	}
+	time.Sleep(d.there)
+	if ctx.Err() != nil {
+		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no answer")
+	}
+	do(ctx)
+	if d.lose {
+		return lost()
+	}
+	time.Sleep(d.back)
+	if ctx.Err() != nil {
+		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no answer")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/world/store.go
@@ -0,0 +1,363 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+// Store is the platform's store in memory.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]store.Item
+	leases   map[int64]*lease
+	leaseOf  map[string]int64
+	revision int64
+	history  []store.Item
+	// from is the revision up to which the history is dropped.
+	from    int64
+	changed chan struct{}
+	down    bool
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		items: make(map[string]store.Item), leases: make(map[int64]*lease), leaseOf: make(map[string]int64),
+		revision: 1, changed: make(chan struct{}),
+	}
+}
+
+// SetDown takes the store down or brings it back; leases run out meanwhile.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Compact drops the history; watches have to begin anew.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.from = nil, s.revision
+}
+
+// Put writes a key without a condition, as the operators and workers do.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(store.Put{Key: key, Value: value})
+	s.notify()
+}
+
+// Remove removes a key, as the platform does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.notify()
+}
+
+// Create writes a key that must not exist, and reports whether it did not.
+func (s *Store) Create(key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; ok {
+		return false
+	}
+	s.revision++
+	s.put(store.Put{Key: key, Value: value})
+	s.notify()
+	return true
+}
+
+// Has reports whether a key exists.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
+func (s *Store) put(p store.Put) {
+	it := store.Item{Key: p.Key, Value: bytes.Clone(p.Value), Revision: s.revision, Created: s.revision}
+	if old, ok := s.items[p.Key]; ok {
+		it.Created = old.Created
+	}
+	s.items[p.Key] = it
+	delete(s.leaseOf, p.Key)
+	if p.Lease != 0 {
+		s.leaseOf[p.Key] = p.Lease
+	}
+	s.history = append(s.history, it)
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	delete(s.leaseOf, key)
+	s.history = append(s.history, store.Item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases whose time is over.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.Before(l.ends) {
+			continue
+		}
+		s.endLease(id)
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, of := range s.leaseOf {
+		if of == id {
+			s.revision++
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
+func (s *Store) apply(t store.Txn) (int64, []store.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return 0, nil, fault.New(fault.StoreUnavailable, "down")
+	}
+	if len(t.Conditions)+len(t.Puts)+len(t.Removes) > store.MaxTxnEntries {
+		return 0, nil, fault.New(fault.StoreUnavailable, "too many entries")
+	}
+	held := true
+	var current []store.Item
+	for _, c := range t.Conditions {
+		it, ok := s.items[c.Key]
+		held = held && it.Revision == c.Revision
+		if ok {
+			current = append(current, it)
+		}
+	}
+	if !held {
+		return 0, current, fault.New(fault.Conflict, "a condition did not hold")
+	}
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return 0, nil, fault.New(fault.NotFound, "no such lease")
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.put(p)
+	}
+	for _, key := range t.Removes {
+		s.remove(key)
+	}
+	s.notify()
+	return s.revision, nil, nil
+}
+
+func (s *Store) list(prefix string) ([]store.Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return nil, 0, fault.New(fault.StoreUnavailable, "down")
+	}
+	var all []store.Item
+	for key, it := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, it)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	return all, s.revision, nil
+}
+
+// since returns the changes after a revision, and what is closed at the next.
+func (s *Store) since(prefix string, after int64) ([]store.Item, int64, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down {
+		return nil, 0, nil, fault.New(fault.StoreUnavailable, "down")
+	}
+	if after < s.from {
+		return nil, 0, nil, fault.New(fault.RetryHorizon, "the history is gone")
+	}
+	var events []store.Item
+	for _, it := range s.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
+
+// forever is the life of the store: it loses nothing.
+func forever() int64 { return 0 }
+
+// View is the store as one VM reaches it.
+type View struct {
+	Store *Store
+	Link  *Link
+}
+
+// Get implements store.Store.
+func (v *View) Get(ctx context.Context, key string) (it store.Item, found bool, err error) {
+	all, _, err := v.Range(ctx, key)
+	for _, x := range all {
+		if x.Key == key {
+			return x, true, nil
+		}
+	}
+	return store.Item{}, false, err
+}
+
+// read carries a read; an answer that is lost did nothing.
+func (v *View) read(ctx context.Context, do func(ctx context.Context)) error {
+	if err := v.Link.call(ctx, fault.StoreUnavailable, forever, do); err != nil {
+		return fault.Wrap(fault.StoreUnavailable, err, "read")
+	}
+	return nil
+}
+
+// Range implements store.Store.
+func (v *View) Range(ctx context.Context, prefix string) (items []store.Item, at int64, err error) {
+	var inner error
+	err = v.read(ctx, func(context.Context) { items, at, inner = v.Store.list(prefix) })
+	if err == nil {
+		err = inner
+	}
+	return items, at, err
+}
+
+// watchPoll is the time between two looks at leases that end during a watch.
+const watchPoll = 50 * time.Millisecond
+
+// Watch implements store.Store.
+func (v *View) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (events []store.Item, at int64, err error) {
+	var inner error
+	until := time.Now().Add(wait)
+	err = v.read(ctx, func(ctx context.Context) {
+		for {
+			var changed chan struct{}
+			events, at, changed, inner = v.Store.since(prefix, after)
+			if inner != nil || len(events) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
+				return
+			}
+			select {
+			case <-changed:
+			case <-time.After(watchPoll):
+			case <-ctx.Done():
+			}
+		}
+	})
+	if err == nil {
+		err = inner
+	}
+	return events, max(at, after), err
+}
+
+// Apply implements store.Store.
+func (v *View) Apply(ctx context.Context, t store.Txn) (revision int64, current []store.Item, err error) {
+	type answer struct {
+		revision int64
+		current  []store.Item
+		err      error
+	}
+	answers := make(chan answer, 1)
+	err = v.Link.call(ctx, fault.StoreUnavailable, forever, func(context.Context) {
+		var a answer
+		a.revision, a.current, a.err = v.Store.apply(t)
+		answers <- a
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	a := <-answers
+	return a.revision, a.current, a.err
+}
+
+// Grant implements store.Store.
+func (v *View) Grant(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+	ids := make(chan int64, 1)
+	err := v.Link.call(ctx, fault.StoreUnavailable, forever, func(context.Context) {
+		s := v.Store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.down {
+			ids <- 0
+			return
+		}
+		s.revision++
+		s.leases[s.revision] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+		ids <- s.revision
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	id := <-ids
+	if id == 0 {
+		return 0, 0, fault.New(fault.StoreUnavailable, "down")
+	}
+	return id, ttl, nil
+}
+
+// Keep implements store.Store.
+func (v *View) Keep(ctx context.Context, id int64) error {
+	errs := make(chan error, 1)
+	err := v.Link.call(ctx, fault.StoreUnavailable, forever, func(context.Context) {
+		s := v.Store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		l := s.leases[id]
+		switch {
+		case s.down:
+			errs <- fault.New(fault.StoreUnavailable, "down")
+		case l == nil:
+			errs <- fault.New(fault.NotFound, "no such lease")
+		default:
+			l.ends = time.Now().Add(l.ttl)
+			errs <- nil
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return <-errs
+}
+
+// End implements store.Store.
+func (v *View) End(ctx context.Context, id int64) error {
+	return v.Link.call(ctx, fault.StoreUnavailable, forever, func(context.Context) {
+		v.Store.mu.Lock()
+		defer v.Store.mu.Unlock()
+		if v.Store.leases[id] != nil {
+			v.Store.endLease(id)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/world/worker.go
@@ -0,0 +1,301 @@
+package world
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
+)
+
+// Bounds are the times of the workers.
+type Bounds struct {
+	MaxHold     time.Duration
+	StopTimeout time.Duration
+	GangTimeout time.Duration
+}
+
+// run is a task on a worker.
+type run struct {
+	task  planner.TaskID
+	run   int64
+	step  model.Step
+	began time.Time
+	// work is when the run is done; zero while its gang is not whole.
+	work time.Time
+	// stops is when a stop takes effect; zero for none.
+	stops time.Time
+	saved string
+}
+
+type key struct {
+	task planner.TaskID
+	run  int64
+}
+
+// Worker is one machine. Its lives have one id, as the platform allows.
+type Worker struct {
+	w    *World
+	Info model.Worker
+
+	up      bool
+	born    int64
+	started time.Time
+	// rate is the speed of its clock.
+	rate  float64
+	token int64
+	lease time.Duration
+	runs  map[key]*run
+	// ended holds the highest run of a task that ended or was stopped.
+	ended  map[planner.TaskID]int64
+	ends   []planner.End
+	number int64
+	// noted is the last end before which the lease ran out: such ends count for
+	// nothing.
+	noted int64
+	// slow workers take this many times as long; failing ones fail everything.
+	slow    float64
+	failing bool
+}
+
+// life names the present life of the worker; none while it is down.
+func (x *Worker) life() int64 {
+	x.w.mu.Lock()
+	defer x.w.mu.Unlock()
+	if !x.up {
+		return 0
+	}
+	return x.started.UnixNano()
+}
+
+func (x *Worker) clock() time.Duration {
+	return time.Duration(float64(time.Since(x.started)) * x.rate)
+}
+
+// start begins a life.
+func (x *Worker) start() {
+	x.up, x.born, x.started = true, time.Now().UnixMilli(), time.Now()
+	x.token, x.lease, x.number, x.noted = 0, 0, 0, 0
+	x.runs, x.ended, x.ends = make(map[key]*run), make(map[planner.TaskID]int64), nil
+	x.Info.Born = x.born
+}
+
+// end lists the end of a run.
+func (x *Worker) end(r *run, how planner.EndKind) {
+	k := key{r.task, r.run}
+	if x.runs[k] == nil {
+		return
+	}
+	delete(x.runs, k)
+	x.ended[r.task] = max(x.ended[r.task], r.run)
+	x.number++
+	saved := r.saved
+	x.ends = append(x.ends, planner.End{Number: x.number, Task: r.task, Run: r.run, How: how, Checkpoint: saved})
+	if !r.step.Gang || how == planner.EndDone {
+		return
+	}
+	for _, o := range x.w.members(r) {
+		o.worker.end(o.run, planner.EndBroken)
+	}
+}
+
+// sorted returns the runs in a fixed order.
+func (x *Worker) sorted() []*run {
+	all := make([]*run, 0, len(x.runs))
+	for _, r := range x.runs {
+		all = append(all, r)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.task != b.task {
+			return a.task.Job < b.task.Job || a.task.Job == b.task.Job && a.task.Index < b.task.Index
+		}
+		return a.run < b.run
+	})
+	return all
+}
+
+// tick moves the runs of a worker on.
+func (x *Worker) tick(now time.Time) {
+	if !x.up {
+		return
+	}
+	if x.clock() > x.lease {
+		for _, r := range x.sorted() {
+			x.end(r, planner.EndLapsed)
+		}
+		x.noted = x.number
+	}
+	for _, r := range x.sorted() {
+		switch {
+		case !r.stops.IsZero() && !now.Before(r.stops):
+			x.end(r, planner.EndStopped)
+		case x.failing && now.Sub(r.began) > 200*time.Millisecond:
+			x.end(r, planner.EndFailed)
+		case !r.work.IsZero() && !now.Before(r.work):
+			x.end(r, planner.EndDone)
+		case r.work.IsZero() && now.Sub(r.began) > x.w.Bounds.GangTimeout:
+			x.end(r, planner.EndAlone)
+		}
+	}
+}
+
+func (x *Worker) used() model.Shape {
+	var s model.Shape
+	for _, r := range x.runs {
+		s = s.Plus(r.step.Shape)
+	}
+	return s
+}
+
+func (x *Worker) fenced(token int64) bool {
+	if token < x.token {
+		return true
+	}
+	x.token = token
+	return false
+}
+
+func (x *Worker) extend(deadline time.Duration) {
+	x.lease = max(x.lease, min(deadline, x.clock()+x.w.Bounds.MaxHold))
+}
+
+func (x *Worker) order(o planner.StartOrder) error {
+	w := x.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.tick(time.Now())
+	k := key{o.Task, o.Run}
+	switch {
+	case !x.up:
+		return fault.New(fault.Unreachable, "down")
+	case x.fenced(o.Token):
+		return fault.New(fault.Fenced, "fence")
+	case o.Deadline <= x.clock():
+		return fault.New(fault.Deadline, "late")
+	}
+	x.extend(o.Deadline)
+	if x.runs[k] != nil {
+		return nil
+	}
+	if o.Run <= x.ended[o.Task] {
+		return fault.New(fault.Conflict, "old")
+	}
+	w.begin(x, o)
+	return nil
+}
+
+func (x *Worker) stop(task planner.TaskID, n, token int64) error {
+	w := x.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.tick(time.Now())
+	switch {
+	case !x.up:
+		return fault.New(fault.Unreachable, "down")
+	case x.fenced(token):
+		return fault.New(fault.Fenced, "fence")
+	}
+	x.ended[task] = max(x.ended[task], n)
+	if r := x.runs[key{task, n}]; r != nil && r.stops.IsZero() {
+		r.stops = time.Now().Add(w.Bounds.StopTimeout)
+	}
+	return nil
+}
+
+func (x *Worker) hold(o planner.HoldOrder) (planner.Report, error) {
+	w := x.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.tick(time.Now())
+	switch {
+	case !x.up:
+		return planner.Report{}, fault.New(fault.Unreachable, "down")
+	case x.fenced(o.Token):
+		return planner.Report{}, fault.New(fault.Fenced, "fence")
+	}
+	x.extend(o.Deadline)
+	w.note(x, o.LastSeen)
+	rep := planner.Report{Clock: x.clock(), Born: x.born, Ends: append([]planner.End(nil), x.ends...)}
+	for _, r := range x.sorted() {
+		rep.Running = append(rep.Running, planner.RunReport{Task: r.task, Run: r.run, Checkpoint: r.saved, Percent: x.percent(r)})
+	}
+	return rep, nil
+}
+
+func (x *Worker) percent(r *run) float64 {
+	if r.work.IsZero() {
+		return 0
+	}
+	return min(99, 100*float64(time.Since(r.began))/float64(r.work.Sub(r.began)))
+}
+
+// Client is a worker as one VM reaches it.
+type Client struct {
+	Worker *Worker
+	Link   *Link
+}
+
+// Start implements planner.WorkerClient.
+func (c *Client) Start(ctx context.Context, o planner.StartOrder) error {
+	errs := make(chan error, 1)
+	if err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(context.Context) { errs <- c.Worker.order(o) }); err != nil {
+		return err
+	}
+	return c.down(<-errs)
+}
+
+// down makes a call to a worker that is down one without an answer: a machine
+// without power does not refuse.
+func (c *Client) down(err error) error {
+	if fault.Is(err, fault.Unreachable) {
+		return fault.Wrap(fault.AnswerLost, err, "no answer")
+	}
+	return err
+}
+
+// Stop implements planner.WorkerClient.
+func (c *Client) Stop(ctx context.Context, task planner.TaskID, n, token int64) error {
+	errs := make(chan error, 1)
+	if err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(context.Context) { errs <- c.Worker.stop(task, n, token) }); err != nil {
+		return err
+	}
+	return c.down(<-errs)
+}
+
+// Hold implements planner.WorkerClient.
+func (c *Client) Hold(ctx context.Context, o planner.HoldOrder) (planner.Report, error) {
+	var mu sync.Mutex
+	var rep planner.Report
+	var inner error
+	until := time.Now().Add(o.Wait)
+	life := c.Worker.life()
+	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) {
+		for {
+			r, err := c.Worker.hold(o)
+			if c.Worker.life() != life {
+				// The connection ended with the life.
+				r, err = planner.Report{}, fault.New(fault.Unreachable, "down")
+			}
+			mu.Lock()
+			rep, inner = r, err
+			mu.Unlock()
+			if err != nil || len(r.Ends) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
+				return
+			}
+			time.Sleep(tick)
+		}
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if err == nil {
+		err = c.down(inner)
+	}
+	return rep, err
+}
+
+// Close implements planner.WorkerClient.
+func (c *Client) Close() {}
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,323 @@
+package world
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+// tick is the time between two moves of the workers.
+const tick = 20 * time.Millisecond
+
+// WorkerPrefix is where the workers register.
+const WorkerPrefix = "workers/"
+
+// Job is a job that was handed in.
+type Job struct {
+	Spec planner.Spec
+	// Runtime is how long a task takes.
+	Runtime time.Duration
+	// CancelledAt is when its cancellation was kept; zero for none.
+	CancelledAt time.Time
+}
+
+// World is the platform.
+type World struct {
+	Store  *Store
+	Bounds Bounds
+	// CancelTime is how long after a cancellation a start is still allowed.
+	CancelTime time.Duration
+
+	rng     *rand.Rand
+	late    sync.WaitGroup
+	mu      sync.Mutex
+	workers []*Worker
+	jobs    map[string]*Job
+	links   map[string]*Link
+	// done holds the tasks whose end as done was taken note of.
+	done map[planner.TaskID]bool
+	// failures counts the runs that ended as failed and were taken note of, by
+	// task, and by gang.
+	failures map[planner.TaskID]int
+	// failed holds the runs that were counted there.
+	failed     map[key]bool
+	violations []string
+	// Starts counts the runs that began.
+	Starts int
+}
+
+// New returns a world with workers of 8 accelerators.
+func New(seed uint64, workers int, b Bounds) *World {
+	w := &World{
+		Store: NewStore(), Bounds: b, CancelTime: 3 * time.Second, rng: rand.New(rand.NewPCG(seed, seed)),
+		jobs: make(map[string]*Job), links: make(map[string]*Link),
+		done: make(map[planner.TaskID]bool), failures: make(map[planner.TaskID]int), failed: make(map[key]bool),
+	}
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		x := &Worker{w: w, rate: 1 - 0.02*w.rng.Float64(), slow: 1, Info: model.Worker{
+			ID: id, Service: "svc", Address: id, Rack: fmt.Sprintf("r%d", i/4), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+			Capacity: model.Shape{MilliCPU: 64000, MemoryMB: 262144, Accelerators: 8},
+		}}
+		x.start()
+		w.workers = append(w.workers, x)
+		w.register(x)
+	}
+	return w
+}
+
+func (w *World) register(x *Worker) {
+	b, err := json.Marshal(x.Info)
+	if err != nil {
+		panic(err)
+	}
+	w.Store.Put(WorkerPrefix+x.Info.ID, b)
+}
+
+// DecodeWorker reads what register wrote.
+func DecodeWorker(it store.Item) (model.Worker, error) {
+	var info model.Worker
+	err := json.Unmarshal(it.Value, &info)
+	return info, err
+}
+
+// Run moves the workers until ctx ends, and waits for late calls.
+func (w *World) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(tick)
+		w.mu.Lock()
+		for _, x := range w.workers {
+			x.tick(time.Now())
+		}
+		w.mu.Unlock()
+	}
+	w.late.Wait()
+}
+
+// Link returns the link from a VM to the store or to a worker.
+func (w *World) Link(vm, to string) *Link {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := vm + ">" + to
+	if w.links[k] == nil {
+		w.links[k] = &Link{rng: rand.New(rand.NewPCG(w.rng.Uint64(), 1)), late: &w.late}
+	}
+	return w.links[k]
+}
+
+// Dial returns a VM's clients of the workers.
+func (w *World) Dial(vm string) func(id, address string) planner.WorkerClient {
+	return func(id, _ string) planner.WorkerClient {
+		return &Client{Worker: w.Worker(id), Link: w.Link(vm, id)}
+	}
+}
+
+// Worker returns a worker.
+func (w *World) Worker(id string) *Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.workers {
+		if x.Info.ID == id {
+			return x
+		}
+	}
+	return nil
+}
+
+// Crash ends the life of a worker; Restart begins the next.
+func (w *World) Crash(id string) {
+	x := w.Worker(id)
+	w.mu.Lock()
+	x.up = false
+	for _, r := range x.sorted() {
+		delete(x.runs, key{r.task, r.run})
+		if r.step.Gang {
+			for _, o := range w.members(r) {
+				o.worker.end(o.run, planner.EndBroken)
+			}
+		}
+	}
+	w.mu.Unlock()
+}
+
+// Restart begins a new life of a worker under its id.
+func (w *World) Restart(id string) {
+	x := w.Worker(id)
+	w.mu.Lock()
+	x.start()
+	w.mu.Unlock()
+	w.register(x)
+}
+
+// SetFailing makes a worker fail everything, or no more.
+func (w *World) SetFailing(id string, failing bool) {
+	x := w.Worker(id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.failing = failing
+}
+
+// Drain lets a worker register as draining.
+func (w *World) Drain(id string) {
+	x := w.Worker(id)
+	w.mu.Lock()
+	x.Info.Draining = true
+	w.mu.Unlock()
+	w.register(x)
+}
+
+// Submit hands a job in: the store holds it.
+func (w *World) Submit(j Job) {
+	b, err := j.Spec.Encode()
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.jobs[j.Spec.Job.ID] = &j
+	w.mu.Unlock()
+	w.Store.Create(store.SpecKey(j.Spec.Job.ID), b)
+}
+
+// Cancel cancels a job.
+func (w *World) Cancel(id string) {
+	if !w.Store.Create(store.CancelKey(id), []byte("{}")) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[id].CancelledAt = time.Now()
+}
+
+// State returns the state of a job by the store alone.
+func (w *World) State(id string) model.JobState {
+	items, _, err := w.Store.list(store.RunKey(id))
+	var r *planner.RunRecord
+	if err == nil && len(items) > 0 {
+		r, err = planner.DecodeRun(items[0].Value)
+	}
+	if err != nil {
+		return ""
+	}
+	return planner.StateOf(w.Store.Has(store.CancelKey(id)), r)
+}
+
+// Violations returns what was broken.
+func (w *World) Violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.violations...)
+}
+
+func (w *World) violate(format string, args ...any) {
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// member is a run with its worker.
+type member struct {
+	worker *Worker
+	run    *run
+}
+
+// members returns the other runs of a gang.
+func (w *World) members(r *run) []member {
+	var all []member
+	for _, x := range w.workers {
+		for _, o := range x.sorted() {
+			if o != r && o.run == r.run && o.task.Job == r.task.Job && o.task.Step == r.task.Step && o.task.Occurrence == r.task.Occurrence {
+				all = append(all, member{x, o})
+			}
+		}
+	}
+	return all
+}
+
+// begin begins a run, and notes what it breaks.
+func (w *World) begin(x *Worker, o planner.StartOrder) {
+	j := w.jobs[o.Task.Job]
+	if j == nil || o.Specification != j.Spec.Job.Specification {
+		w.violate("UNASKED: %v started, which nobody handed in", o.Task)
+		return
+	}
+	step := j.Spec.Job.Steps[o.Task.Step]
+	r := &run{task: o.Task, run: o.Run, step: step, began: time.Now()}
+	w.Starts++
+	w.checkTwice(x, r)
+	if !step.Shape.Plus(x.used()).Fits(x.Info.Capacity) {
+		w.violate("LIMIT: %v over the room of %s", o.Task, x.Info.ID)
+	}
+	if !j.CancelledAt.IsZero() && time.Since(j.CancelledAt) > w.CancelTime {
+		w.violate("UNASKED: %v started %v after the cancellation", o.Task, time.Since(j.CancelledAt))
+	}
+	if w.failures[w.attempt(r)] >= j.Spec.Queue.MaxAttempts {
+		w.violate("BUDGET: %v started after %d failed runs", o.Task, w.failures[w.attempt(r)])
+	}
+	x.runs[key{r.task, r.run}] = r
+	runtime := time.Duration(float64(j.Runtime) * x.slow)
+	if !step.Gang {
+		r.work = time.Now().Add(runtime)
+		return
+	}
+	if others := w.members(r); len(others)+1 == step.Tasks {
+		r.work = time.Now().Add(runtime)
+		for _, m := range others {
+			m.run.work = r.work
+		}
+	}
+}
+
+func (w *World) checkTwice(x *Worker, r *run) {
+	if w.done[r.task] {
+		w.violate("TWICE: %v run %d started on %s after its end was taken note of", r.task, r.run, x.Info.ID)
+	}
+	for _, o := range w.workers {
+		for _, other := range o.runs {
+			if o.up && other.task == r.task {
+				w.violate("TWICE: %v run %d on %s beside run %d on %s", r.task, r.run, x.Info.ID, other.run, o.Info.ID)
+			}
+		}
+	}
+}
+
+// attempt returns what attempts are counted by: a gang as a whole.
+func (w *World) attempt(r *run) planner.TaskID {
+	t := r.task
+	if r.step.Gang {
+		t.Index = -1
+	}
+	return t
+}
+
+// note takes in which ends the planner has taken note of.
+func (w *World) note(x *Worker, lastSeen int64) {
+	kept := x.ends[:0]
+	for _, e := range x.ends {
+		if e.Number > lastSeen {
+			kept = append(kept, e)
+			continue
+		}
+		if e.Number <= x.noted {
+			// The lease ran out before the end was taken note of.
+			continue
+		}
+		j := w.jobs[e.Task.Job]
+		r := &run{task: e.Task, run: e.Run, step: j.Spec.Job.Steps[e.Task.Step]}
+		switch e.How {
+		case planner.EndDone:
+			w.done[e.Task] = true
+		case planner.EndFailed:
+			if k := (key{w.attempt(r), e.Run}); !w.failed[k] {
+				w.failed[k] = true
+				w.failures[k.task]++
+			}
+		default:
+		}
+	}
+	x.ends = kept
+}
