Keep a term through an outage of the store, and acknowledge ends to one life only

A store that took most of a second for an answer counted as down everywhere. Change: a term that can't renew is suspended and goes on when a renewal succeeds; it ends when the store says that the lease has ended. Renewals do not wait for each other. Time-outs fit a store 200 times slower; a store that failed is probed at intervals instead of by clients' calls.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -82,7 +82,7 @@
 const retryAfter = time.Second
 
 // refreshTimeout bounds the reading of the configuration before a refusal.
-const refreshTimeout = 800 * time.Millisecond
+const refreshTimeout = 1000 * time.Millisecond
 
 // maxAge is the age from which a configuration is read again before any call is
 // served by it: the VM was suspended or cut off.
@@ -101,7 +101,7 @@
 	defer cancel()
 	if refreshErr := d.Config.Refresh(ctx); refreshErr != nil {
 		d.Meter.Inc("served_by_older_config")
-		d.Log.Warn("configuration could not be read again", "host", c.Host, "age_ms", d.Config.Age().Milliseconds(), "error", refreshErr)
+		d.Log.Debug("configuration could not be read again", "host", c.Host, "age_ms", d.Config.Age().Milliseconds(), "error", refreshErr)
 	}
 	return d.find(c)
 }
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -16,10 +16,13 @@
 
 const (
 	// readTimeout bounds one read of the configuration.
-	readTimeout = 1500 * time.Millisecond
+	readTimeout = 2600 * time.Millisecond
 	// reads is the number of reads in the time in which a configuration must be
 	// in force.
 	reads = 3.5
+	// failedPause is how long after a failed read no other begins: calls that
+	// wait for one are not held up again and again.
+	failedPause = 150 * time.Millisecond
 	// firstDelay is the pause between reads while there is no configuration.
 	firstDelay = 200 * time.Millisecond
 	// Fresh is the age up to which a configuration needs no further read before
@@ -49,6 +52,8 @@
 	confirmed atomic.Int64
 	mu        sync.Mutex
 	reading   *reading
+	failedAt  time.Time
+	failure   error
 	revision  int64
 }
 
@@ -89,6 +94,10 @@
 // began after the first of them.
 func (f *Follower) Refresh(ctx context.Context) error {
 	f.mu.Lock()
+	if time.Since(f.failedAt) < failedPause {
+		defer f.mu.Unlock()
+		return f.failure
+	}
 	r := f.reading
 	if r == nil {
 		r = &reading{done: make(chan struct{})}
@@ -120,6 +129,9 @@
 	r.err = err
 	f.mu.Lock()
 	f.reading = nil
+	if err != nil {
+		f.failedAt, f.failure = time.Now(), err
+	}
 	f.mu.Unlock()
 	close(r.done)
 }
--- a/internal/fleet/lock/lock.go
+++ b/internal/fleet/lock/lock.go
@@ -27,8 +27,9 @@
 	renewals = 4
 	// watchWait bounds one watch of the lock; a silent watch is noticed then.
 	watchWait = 3 * time.Second
-	// callTimeout bounds a call for the lock.
-	callTimeout = 600 * time.Millisecond
+	// callTimeout bounds a call for the lock. A store that takes most of a second
+	// is still served by.
+	callTimeout = 1300 * time.Millisecond
 	// retryDelay is the pause after a failed call; it is drawn up to twice as
 	// long.
 	retryDelay = 150 * time.Millisecond
@@ -54,7 +55,7 @@
 }
 
 // Valid reports whether the lock is still held for certain.
-func (t Term) Valid() bool { return t.lock.valid(t.Revision) }
+func (t Term) Valid() bool { return t.lock.held(t.Revision) }
 
 // Lock takes part in the election. Its exported fields are set before Run.
 type Lock struct {
@@ -70,6 +71,8 @@
 	seen       time.Time
 	term       int64
 	validUntil boottime.Time
+	// lost says that the store has ended the lease of the term.
+	lost bool
 }
 
 // Holder returns who holds the lock as last read, and how old that is.
@@ -79,12 +82,6 @@
 	return l.holder, time.Since(l.seen)
 }
 
-func (l *Lock) valid(revision int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.term == revision && boottime.Now() < l.validUntil
-}
-
 func (l *Lock) note(h Holder) {
 	l.mu.Lock()
 	changed := l.holder.Revision != h.Revision
@@ -95,6 +92,14 @@
 	}
 }
 
+// Suspended reports whether this VM leads a term that it does not hold for
+// certain at present.
+func (l *Lock) Suspended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term != 0 && boottime.Now() >= l.validUntil
+}
+
 // Run takes part in the election until ctx ends. It calls lead with each term
 // of this VM; lead returns when its context ends or to give the lock up.
 func (l *Lock) Run(ctx context.Context, lead func(ctx context.Context, t Term)) {
@@ -163,7 +168,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.term, l.validUntil = revision, asked.Add(ttl-margin)
+	l.term, l.validUntil, l.lost = revision, asked.Add(ttl-margin), false
 	l.mu.Unlock()
 	h := l.Self
 	h.Revision = revision
@@ -204,7 +209,9 @@
 	}
 }
 
-// hold renews the lock and leads, until the lock is lost or given up.
+// hold renews the lock and leads, until the lock is lost or given up. A term
+// that can't renew it is suspended: it may not act, and goes on when a renewal
+// succeeds.
 func (l *Lock) hold(ctx context.Context, lease int64, ttl time.Duration, lead func(ctx context.Context, t Term)) {
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -221,36 +228,59 @@
 		case <-done:
 			return
 		case <-tick.C:
-			if !l.renew(termCtx, lease, ttl) {
-				l.Log.Warn("planner lock lost", "term", t.Revision)
-				l.Meter.Inc("lock_lost")
-				cancel()
-				<-done
-				return
-			}
 		}
+		if l.isLost(t.Revision) {
+			l.Log.Warn("planner lock lost", "term", t.Revision)
+			l.Meter.Inc("lock_lost")
+			cancel()
+			<-done
+			return
+		}
+		// A slow answer does not hold up the next renewal.
+		go l.renew(termCtx, t.Revision, lease, ttl)
 	}
 }
 
+// isLost reports whether the store has said that a term's lease has ended.
+// Until then the term may go on: a store that was away may have stopped the
+// time of its leases.
+func (l *Lock) isLost(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term != revision || l.lost
+}
+
+// held reports whether a term holds the lock for certain.
+func (l *Lock) held(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term == revision && boottime.Now() < l.validUntil
+}
+
 func (l *Lock) revision() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.term
 }
 
-// renew renews the lease and reports whether the lock is still held.
-func (l *Lock) renew(ctx context.Context, lease int64, ttl time.Duration) bool {
+// renew renews the lease.
+func (l *Lock) renew(ctx context.Context, revision, lease int64, ttl time.Duration) {
 	asked := boottime.Now()
-	callCtx, cancel := context.WithTimeout(ctx, ttl/renewals)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := l.Store.Keep(callCtx, lease)
+	err := l.Store.Keep(ctx, lease)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err == nil {
+	if l.term != revision || ctx.Err() != nil && err != nil {
+		return
+	}
+	switch {
+	case err == nil:
 		l.validUntil = max(l.validUntil, asked.Add(ttl-margin))
 		l.seen = time.Now()
-		return true
+	case fault.Is(err, fault.NotFound):
+		l.validUntil, l.lost = 0, true
+	default:
+		l.Meter.Inc("lock_renewal_failed")
 	}
-	l.Meter.Inc("lock_renewal_failed")
-	return !fault.Is(err, fault.NotFound) && boottime.Now() < l.validUntil
 }
--- a/internal/fleet/node/asker.go
+++ b/internal/fleet/node/asker.go
@@ -23,11 +23,11 @@
 // holder returns who plans.
 func (a *asker) holder(ctx context.Context) (lock.Holder, error) {
 	h, age := a.n.lock.Holder()
-	if h.Revision > 0 && age < staleHolder {
+	if h.Revision > 0 && age < staleHolder && !a.n.lock.Suspended() {
 		return h, nil
 	}
 	r, err := a.n.peers.Lead(ctx)
-	if err == nil && r.GetRevision() >= h.Revision {
+	if err == nil && r.GetRevision() > h.Revision {
 		return lock.Holder{VMID: r.GetVmId(), IP: r.GetIp(), Revision: r.GetRevision()}, nil
 	}
 	if h.Revision > 0 {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -81,7 +81,7 @@
 	for _, ip := range s.SeedIPs {
 		n.peers.Add(ip)
 	}
-	n.path = &path.Path{Direct: p.Store, Relays: n.peers, Log: n.Log, Meter: n.Meter}
+	n.path = &path.Path{Direct: p.Store, Relays: n.peers, ProbeKey: p.ConfigKey, Log: n.Log, Meter: n.Meter}
 	n.follower = &follow.Follower{
 		Store: n.path, Key: p.ConfigKey, Decode: p.DecodeConfig, Apply: s.Bounds.ConfigApply, Log: n.Log, Meter: n.Meter,
 	}
@@ -129,6 +129,7 @@
 	led := make(chan struct{})
 	lockCtx, release := context.WithCancel(duties)
 	defer release()
+	go n.path.Run(duties)
 	go n.follower.Run(duties)
 	go n.announce(duties)
 	go func() {
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	// directTimeout bounds a direct call. A store that is 60 times slower than
+	// directTimeout bounds a direct call. A store that is 200 times slower than
 	// its 4 ms still answers in time.
-	directTimeout = 700 * time.Millisecond
+	directTimeout = 1200 * time.Millisecond
 	// relayTimeout bounds a call through a peer, which makes a direct call.
-	relayTimeout = 900 * time.Millisecond
-	// shunTime is how long peers are asked first after a direct call failed.
-	shunTime = 700 * time.Millisecond
+	relayTimeout = 1300 * time.Millisecond
+	// probePause is the time between two direct calls while peers are asked
+	// first.
+	probePause = 300 * time.Millisecond
 	// maxRelays bounds the peers that are asked for one call.
 	maxRelays = 2
 )
@@ -41,14 +42,16 @@
 type Path struct {
 	Direct Access
 	Relays Relays
-	Log    *slog.Logger
-	Meter  *meter.Meter
+	// ProbeKey is read to find out whether the store is reached again.
+	ProbeKey string
+	Log      *slog.Logger
+	Meter    *meter.Meter
 
-	mu        sync.Mutex
-	shunUntil time.Time
+	mu sync.Mutex
 	// lastDirect and lastRelay are when a call last succeeded each way.
 	lastDirect, lastRelay time.Time
-	// failing says that the last direct call failed.
+	// failing says that the last direct call failed: peers are asked first until
+	// one succeeds.
 	failing bool
 	// alone says that no peer answered when the direct way last failed.
 	alone bool
@@ -109,7 +112,7 @@
 func (p *Path) shunned() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Now().Before(p.shunUntil)
+	return p.failing
 }
 
 func (p *Path) direct(ctx context.Context, call func(ctx context.Context, a Access) error) error {
@@ -122,14 +125,13 @@
 		if p.failing {
 			p.Log.Info("store reached again")
 		}
-		p.lastDirect, p.failing, p.shunUntil = time.Now(), false, time.Time{}
+		p.lastDirect, p.failing = time.Now(), false
 		return err
 	}
 	if !p.failing {
 		p.Log.Warn("store not reached", "error", err)
 	}
 	p.failing = true
-	p.shunUntil = time.Now().Add(shunTime)
 	return err
 }
 
@@ -162,6 +164,26 @@
 	return fault.Wrap(fault.StoreUnavailable, last, "relay")
 }
 
+// Run finds out when a store that was not reached is reached again, until ctx
+// ends.
+func (p *Path) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if p.shunned() {
+			err := p.direct(ctx, func(ctx context.Context, a Access) error {
+				_, _, err := a.Get(ctx, p.ProbeKey)
+				return err
+			})
+			if err != nil {
+				p.Meter.Inc("store_probe_failed")
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(probePause):
+		}
+	}
+}
+
 // Alone reports whether neither the store nor any peer was reached for a while.
 func (p *Path) Alone(limit time.Duration) bool {
 	p.mu.Lock()
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -16,7 +16,7 @@
 	// needs two conditions and a put, besides the condition on the lock.
 	batchJobs = (store.MaxTxnEntries - 1) / 3
 	// commitTimeout bounds one attempt of a write.
-	commitTimeout = 600 * time.Millisecond
+	commitTimeout = 1200 * time.Millisecond
 	// commitRetry is the pause between two attempts.
 	commitRetry = 60 * time.Millisecond
 )
@@ -27,7 +27,12 @@
 	rows []batchRow
 	// seen holds the ends that are kept once the write is; nil when other
 	// changes are left for the next one.
-	seen map[*worker]int64
+	seen map[*worker]lifeEnd
+}
+
+// lifeEnd is an end of one life of a worker.
+type lifeEnd struct {
+	born, number int64
 }
 
 // batchRow is one job of a batch.
@@ -115,24 +120,24 @@
 }
 
 // unkept returns the ends that were taken in and are not kept yet.
-func (t *term) unkept() map[*worker]int64 {
-	seen := make(map[*worker]int64)
+func (t *term) unkept() map[*worker]lifeEnd {
+	seen := make(map[*worker]lifeEnd)
 	for _, w := range t.workers {
 		if w.seen > w.kept {
-			seen[w] = w.seen
+			seen[w] = lifeEnd{w.born, w.seen}
 		}
 	}
 	return seen
 }
 
 // keepEnds lets the workers forget the ends that are kept.
-func (t *term) keepEnds(seen map[*worker]int64) {
-	for w, n := range seen {
+func (t *term) keepEnds(seen map[*worker]lifeEnd) {
+	for w, e := range seen {
 		// A new life numbers its ends anew.
-		if w.seen < n {
+		if w.born != e.born {
 			continue
 		}
-		w.kept = n
+		w.kept = e.number
 		select {
 		case w.wake <- struct{}{}:
 		default:
@@ -147,7 +152,12 @@
 	unanswered := false
 	for {
 		if !t.valid() {
-			return fault.New(fault.Fenced, "the lock is not held any more")
+			// The term is suspended, or about to end.
+			if t.ctx.Err() != nil {
+				return fault.New(fault.Fenced, "the lock is not held any more")
+			}
+			pause(t.ctx, commitRetry)
+			continue
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		revision, current, err := t.p.Store.Apply(ctx, b.txn)
@@ -188,23 +198,30 @@
 	// The write happens as a whole: when one record is as written, all are.
 	if it, ok := items[store.RunKey(b.rows[0].job.id)]; ok && it.Revision != b.rows[0].job.revision && bytes.Equal(it.Value, b.rows[0].value) {
 		b.keep(it.Revision)
+		// Cancellations that came since then are not to be overtaken by starts.
+		t.takeCancels(b, items)
 		return nil
 	}
 	if items[store.LockKey].Revision != t.revision {
 		return fault.New(fault.Fenced, "another planner holds the lock")
 	}
-	cancelled := false
+	if !t.takeCancels(b, items) {
+		return fault.New(fault.Fenced, "a run record is not as this term wrote it: %s", b.differing(items))
+	}
+	return fault.New(fault.Conflict, "a job was cancelled")
+}
+
+// takeCancels takes the cancellations among items, and reports whether there are
+// any; the watch may have told of them already.
+func (t *term) takeCancels(b *batch, items map[string]store.Item) bool {
+	found := false
 	for _, row := range b.rows {
-		// The watch may have told of it since the write was made up.
 		if _, ok := items[store.CancelKey(row.job.id)]; ok {
 			t.takeCancel(row.job.id, "condition")
-			cancelled = true
+			found = true
 		}
 	}
-	if !cancelled {
-		return fault.New(fault.Fenced, "a run record is not as this term wrote it: %s", b.differing(items))
-	}
-	return fault.New(fault.Conflict, "a job was cancelled")
+	return found
 }
 
 // differing names the first record whose condition did not hold.
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -66,21 +66,22 @@
 			return
 		}
 		unanswered = unanswered || fault.Is(err, fault.AnswerLost)
-		if boottime.Now() >= until || t.isStopping(m) {
+		if boottime.Now() >= until || t.isOver(m) {
 			break
 		}
 		pause(t.ctx, orderRetry)
-		if t.isStopping(m) {
+		if t.isOver(m) {
 			break
 		}
 	}
 	t.unanswered(m, unanswered)
 }
 
-func (t *term) isStopping(m *member) bool {
+// isOver reports whether a run is not to begin any more, or has ended already.
+func (t *term) isOver(m *member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return m.stopping
+	return m.stopping || m.gone
 }
 
 // orderRetry is the pause between two attempts of an order.
@@ -103,6 +104,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.starting = false
+	if m.gone {
+		return
+	}
 	m.answered = boottime.Now()
 	t.p.Meter.Inc("start_ok")
 	t.p.Log.Debug("started", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "token", m.token)
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -92,7 +92,7 @@
 func (p *Planner) current() (*term, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.term == nil || p.term.ctx.Err() != nil {
+	if p.term == nil || p.term.ctx.Err() != nil || !p.term.valid() {
 		return nil, fault.New(fault.NotReady, "this VM is not the planner")
 	}
 	return p.term, nil
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -70,7 +70,7 @@
 		s.link(vm, "store").Cut(s.rng.IntN(2) == 0)
 	case 6:
 		s.world.Crash(id)
-		time.Sleep(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
+		time.Sleep(restartTime + time.Duration(s.rng.IntN(1500))*time.Millisecond)
 		s.world.Restart(id)
 	case 7, 8:
 		s.kill(vm)
@@ -89,6 +89,9 @@
 	}
 }
 
+// restartTime is the least time that a machine needs to start anew.
+const restartTime = 150 * time.Millisecond
+
 // suspend holds all calls of a VM back: what it had decided to send goes out
 // when it resumes.
 func (s *scene) suspend(vm string, d time.Duration) {
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 )
 
 // TaskID names a task.
@@ -42,6 +44,9 @@
 	Deadline time.Duration
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// SendBy is when the order must have been sent: a later one may meet a new
+	// life, whose ends have the same numbers.
+	SendBy boottime.Time
 }
 
 // RunReport is a run that a worker lists.
--- a/internal/peer/vm/serve.go
+++ b/internal/peer/vm/serve.go
@@ -32,7 +32,7 @@
 }
 
 // serveTimeout bounds a relayed call.
-const serveTimeout = 700 * time.Millisecond
+const serveTimeout = 1200 * time.Millisecond
 
 // notHere answers a call for the planner at a VM that does not plan.
 func notHere(err error) error { return connect.NewError(connect.CodeFailedPrecondition, err) }
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
@@ -272,13 +273,25 @@
 	var rep planner.Report
 	var inner error
 	until := time.Now().Add(o.Wait)
-	life := c.Worker.life()
+	life := int64(-1)
 	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) {
+		if boottime.Now() > o.SendBy {
+			mu.Lock()
+			inner = fault.New(fault.Unreachable, "not sent in time")
+			mu.Unlock()
+			return
+		}
 		for {
-			r, err := c.Worker.hold(o)
-			if c.Worker.life() != life {
+			var r planner.Report
+			var err error
+			if life == -1 {
+				life = c.Worker.life()
+			}
+			if c.Worker.life() == life {
+				r, err = c.Worker.hold(o)
+			} else {
 				// The connection ended with the life.
-				r, err = planner.Report{}, fault.New(fault.Unreachable, "down")
+				err = fault.New(fault.Unreachable, "down")
 			}
 			mu.Lock()
 			rep, inner = r, err
