--- /dev/null
+++ b/internal/decide/order/order_test.go
@@ -0,0 +1,42 @@
+package order_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/order"
+)
+
+// TestOrders reads lists of waiting units, each in the order in which they are
+// to be served.
+func TestOrders(t *testing.T) {
+	var file struct {
+		Orders []struct {
+			Why   string
+			Units []order.Unit
+		}
+	}
+	b, err := os.ReadFile("testdata/orders.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := toml.Unmarshal(b, &file); err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range file.Orders {
+		t.Run(o.Why, func(t *testing.T) {
+			is := is.New(t)
+			n := len(o.Units)
+			// Every rotation of the list is put in the same order again.
+			for shift := range n {
+				rotated := append(append([]order.Unit(nil), o.Units[shift:]...), o.Units[:shift]...)
+				for i, k := range order.Sort(rotated) {
+					is.Equal(rotated[k], o.Units[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/world/link.go
+++ b/internal/standin/world/link.go
@@ -29,6 +29,8 @@
 	mu     sync.Mutex
 	faults Faults
 	cut    bool
+	// slow is added to each call.
+	slow time.Duration
 	// resume is closed when a paused link goes on; nil when it is not paused.
 	resume chan struct{}
 	// late counts the calls that are still to be carried out.
@@ -49,6 +51,13 @@
 	l.faults = f
 }
 
+// Slow lets each call take longer.
+func (l *Link) Slow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slow = d
+}
+
 // Cut cuts the link or heals it.
 func (l *Link) Cut(cut bool) {
 	l.mu.Lock()
@@ -89,7 +98,7 @@
 	f := l.faults
 	d := draw{
 		cut: l.cut, resume: l.resume,
-		there: time.Duration(l.rng.Int64N(int64(maxLatency))), back: time.Duration(l.rng.Int64N(int64(maxLatency))),
+		there: l.slow + time.Duration(l.rng.Int64N(int64(maxLatency))), back: time.Duration(l.rng.Int64N(int64(maxLatency))),
 		delay: time.Duration(l.rng.Int64N(int64(maxLate))),
 	}
 	switch {
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -24,6 +24,8 @@
 	from    int64
 	changed chan struct{}
 	down    bool
+	// paused is when the time of the leases was stopped; zero when it runs.
+	paused time.Time
 }
 
 type lease struct {
@@ -46,6 +48,23 @@
 	s.down = down
 }
 
+// Pause takes the store down and stops the time of its leases until Unpause.
+func (s *Store) Pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.paused = true, time.Now()
+}
+
+// Unpause brings a paused store back.
+func (s *Store) Unpause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.ends = l.ends.Add(time.Since(s.paused))
+	}
+	s.down, s.paused = false, time.Time{}
+}
+
 // Compact drops the history; watches have to begin anew.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -121,6 +140,9 @@
 
 // expire ends the leases whose time is over.
 func (s *Store) expire() {
+	if !s.paused.IsZero() {
+		return
+	}
 	now := time.Now()
 	for id, l := range s.leases {
 		if now.Before(l.ends) {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -173,15 +173,20 @@
 	w.register(x)
 }
 
+// Expect makes a job known that somebody else hands in.
+func (w *World) Expect(j Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[j.Spec.Job.ID] = &j
+}
+
 // Submit hands a job in: the store holds it.
 func (w *World) Submit(j Job) {
 	b, err := j.Spec.Encode()
 	if err != nil {
 		panic(err)
 	}
-	w.mu.Lock()
-	w.jobs[j.Spec.Job.ID] = &j
-	w.mu.Unlock()
+	w.Expect(j)
 	w.Store.Create(store.SpecKey(j.Spec.Job.ID), b)
 }
 
