Let late answers of the platform in memory race with nobody

The race detector found reads of answers that were carried out late, in the stand-in alone. They go through channels that nobody reads any more.

--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -258,22 +258,30 @@
 	return store.Item{}, false, err
 }
 
+// listing is the answer to a read. A late answer is written to a channel that
+// nobody reads any more.
+type listing struct {
+	items []store.Item
+	at    int64
+	err   error
+}
+
 // read carries a read; an answer that is lost did nothing.
-func (v *View) read(ctx context.Context, do func(ctx context.Context)) error {
-	if err := v.Link.call(ctx, fault.StoreUnavailable, forever, do); err != nil {
-		return fault.Wrap(fault.StoreUnavailable, err, "read")
+func (v *View) read(ctx context.Context, do func(ctx context.Context) listing) listing {
+	answers := make(chan listing, 1)
+	if err := v.Link.call(ctx, fault.StoreUnavailable, forever, func(ctx context.Context) { answers <- do(ctx) }); err != nil {
+		return listing{err: fault.Wrap(fault.StoreUnavailable, err, "read")}
 	}
-	return nil
+	return <-answers
 }
 
 // Range implements store.Store.
 func (v *View) Range(ctx context.Context, prefix string) (items []store.Item, at int64, err error) {
-	var inner error
-	err = v.read(ctx, func(context.Context) { items, at, inner = v.Store.list(prefix) })
-	if err == nil {
-		err = inner
-	}
-	return items, at, err
+	l := v.read(ctx, func(context.Context) (l listing) {
+		l.items, l.at, l.err = v.Store.list(prefix)
+		return l
+	})
+	return l.items, l.at, l.err
 }
 
 // watchPoll is the time between two looks at leases that end during a watch.
@@ -281,14 +289,13 @@
 
 // Watch implements store.Store.
 func (v *View) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (events []store.Item, at int64, err error) {
-	var inner error
 	until := time.Now().Add(wait)
-	err = v.read(ctx, func(ctx context.Context) {
+	l := v.read(ctx, func(ctx context.Context) (l listing) {
 		for {
 			var changed chan struct{}
-			events, at, changed, inner = v.Store.since(prefix, after)
-			if inner != nil || len(events) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
-				return
+			l.items, l.at, changed, l.err = v.Store.since(prefix, after)
+			if l.err != nil || len(l.items) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
+				return l
 			}
 			select {
 			case <-changed:
@@ -297,10 +304,7 @@
 			}
 		}
 	})
-	if err == nil {
-		err = inner
-	}
-	return events, max(at, after), err
+	return l.items, max(l.at, after), l.err
 }
 
 // Apply implements store.Store.
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
@@ -267,47 +266,40 @@
 	return c.down(<-errs)
 }
 
+// listed is the answer to a hold.
+type listed struct {
+	report planner.Report
+	err    error
+}
+
 // Hold implements planner.WorkerClient.
 func (c *Client) Hold(ctx context.Context, o planner.HoldOrder) (planner.Report, error) {
-	var mu sync.Mutex
-	var rep planner.Report
-	var inner error
 	until := time.Now().Add(o.Wait)
-	life := int64(-1)
-	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) {
-		if boottime.Now() > o.SendBy {
-			mu.Lock()
-			inner = fault.New(fault.Unreachable, "not sent in time")
-			mu.Unlock()
-			return
+	answers := make(chan listed, 1)
+	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) { answers <- c.hold(ctx, o, until) })
+	if err != nil {
+		return planner.Report{}, err
+	}
+	a := <-answers
+	return a.report, c.down(a.err)
+}
+
+// hold waits for an end, as long as the life goes on that the call came to.
+func (c *Client) hold(ctx context.Context, o planner.HoldOrder, until time.Time) listed {
+	if boottime.Now() > o.SendBy {
+		return listed{err: fault.New(fault.Unreachable, "not sent in time")}
+	}
+	life := c.Worker.life()
+	for {
+		if c.Worker.life() != life {
+			return listed{err: fault.New(fault.Unreachable, "down")}
 		}
-		for {
-			var r planner.Report
-			var err error
-			if life == -1 {
-				life = c.Worker.life()
-			}
-			if c.Worker.life() == life {
-				r, err = c.Worker.hold(o)
-			} else {
-				// The connection ended with the life.
-				err = fault.New(fault.Unreachable, "down")
-			}
-			mu.Lock()
-			rep, inner = r, err
-			mu.Unlock()
-			if err != nil || len(r.Ends) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
-				return
-			}
-			time.Sleep(tick)
+		rep, err := c.Worker.hold(o)
+		if err != nil || len(rep.Ends) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
+			return listed{rep, err}
 		}
-	})
-	mu.Lock()
-	defer mu.Unlock()
-	if err == nil {
-		err = c.down(inner)
+		time.Sleep(tick)
 	}
-	return rep, err
 }
 
 // Close implements planner.WorkerClient.
