--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -224,7 +224,7 @@
 	n.front.HideBanner, n.front.HidePort = true, true
 	n.Platform.Front(n.front, n.desk, n)
 	peers := http.NewServeMux()
-	peers.Handle(nodev1connect.NewNodeServiceHandler(&vm.Service{Planner: n.planner, Direct: n.Platform.Store, Holder: n.lock.Holder}))
+	peers.Handle(nodev1connect.NewNodeServiceHandler(&vm.Service{Planner: n.planner, Direct: n.path.Own(), Holder: n.lock.Holder}))
 	ready := http.NewServeMux()
 	ready.HandleFunc(n.Platform.ReadinessPath, n.serveReadiness)
 	counters := http.NewServeMux()
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -103,12 +103,55 @@
 		}
 	}
 	err := p.relay(ctx, read, call)
-	if shun && err != nil && fault.Is(err, fault.StoreUnavailable) && ctx.Err() == nil {
+	// A read may try the direct way all the same. A change is refused, which is
+	// true at once, and not sent on a way that is known to fail: no answer would
+	// leave it unknown whether it was made.
+	if shun && read && fault.Is(err, fault.StoreUnavailable) && ctx.Err() == nil {
 		return p.direct(ctx, call)
 	}
 	return err
 }
 
+// Own returns the direct way alone, for calls that this VM makes for its peers.
+// It refuses at once while that way is known to fail.
+func (p *Path) Own() Access { return own{p} }
+
+type own struct{ p *Path }
+
+func (o own) do(ctx context.Context, call func(ctx context.Context, a Access) error) error {
+	if o.p.shunned() {
+		return fault.New(fault.StoreUnavailable, "the store is not reached from here")
+	}
+	return o.p.direct(ctx, call)
+}
+
+func (o own) Get(ctx context.Context, key string) (it store.Item, found bool, err error) {
+	err = o.do(ctx, func(ctx context.Context, a Access) error {
+		var err error
+		it, found, err = a.Get(ctx, key)
+		return err
+	})
+	return it, found, err
+}
+
+func (o own) Range(ctx context.Context, prefix string) (items []store.Item, at int64, err error) {
+	err = o.do(ctx, func(ctx context.Context, a Access) error {
+		var err error
+		items, at, err = a.Range(ctx, prefix)
+		return err
+	})
+	return items, at, err
+}
+
+func (o own) Apply(ctx context.Context, t store.Txn) (revision int64, current []store.Item, err error) {
+	err = o.do(ctx, func(ctx context.Context, a Access) error {
+		var err error
+		revision, current, err = a.Apply(ctx, t)
+		return err
+	})
+	return revision, current, err
+}
+
 func (p *Path) shunned() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/fleet/path/path_test.go
@@ -0,0 +1,112 @@
+package path_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
+)
+
+// counted is a way to the store that counts its changes.
+type counted struct {
+	path.Access
+	applies int
+}
+
+func (c *counted) Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error) {
+	c.applies++
+	return c.Access.Apply(ctx, t)
+}
+
+// relays lists fixed peers.
+type relays []path.Access
+
+func (r relays) Relays() []path.Access { return r }
+
+// scene is a VM and a peer of it, each with its own way to one store.
+type scene struct {
+	world        *world.World
+	direct, peer *counted
+	path         *path.Path
+	peerPath     *path.Path
+	stop         context.CancelFunc
+}
+
+func newScene() *scene {
+	s := &scene{world: world.New(1, 1, world.Bounds{MaxHold: time.Second})}
+	view := func(vm string) *world.View { return &world.View{Store: s.world.Store, Link: s.world.Link(vm, "store")} }
+	newPath := func(direct path.Access, r path.Relays) *path.Path {
+		return &path.Path{Direct: direct, Relays: r, ProbeKey: "probe", Log: slog.New(slog.DiscardHandler), Meter: &meter.Meter{}}
+	}
+	s.direct, s.peer = &counted{Access: view("a")}, &counted{Access: view("b")}
+	s.peerPath = newPath(s.peer, relays{})
+	s.path = newPath(s.direct, relays{s.peerPath.Own()})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go s.path.Run(ctx)
+	go s.peerPath.Run(ctx)
+	return s
+}
+
+func (s *scene) apply(key string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, _, err := s.path.Apply(ctx, store.Txn{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte("v")}}})
+	return err
+}
+
+func TestATurnedAwayVMServesThroughAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene()
+		defer s.stop()
+		s.world.Link("a", "store").Set(world.Faults{Refuse: 1})
+		is.NoErr(s.apply("k1"))
+		is.Equal(s.peer.applies, 1)
+		time.Sleep(time.Second)
+		is.NoErr(s.apply("k2"))
+		is.Equal(s.direct.applies, 1) // peers are asked first until the store is reached again
+		s.world.Link("a", "store").Set(world.Faults{})
+		time.Sleep(time.Second)
+		is.NoErr(s.apply("k3"))
+		is.Equal(s.direct.applies, 2)
+		is.Equal(s.peer.applies, 2)
+	})
+}
+
+// TestAnOutageIsRefusedAtOnceAndTruly shows that a change is not sent on ways
+// that are known to fail: the refusal is true, and takes no time.
+func TestAnOutageIsRefusedAtOnceAndTruly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene()
+		defer s.stop()
+		s.world.Link("a", "store").Cut(true)
+		s.world.Link("b", "store").Cut(true)
+		is.True(fault.Is(s.apply("k1"), fault.AnswerLost)) // the first to find out can't know
+		_, _, err := s.peerPath.Get(t.Context(), "k")
+		is.True(err != nil)
+		sent := s.direct.applies + s.peer.applies
+		for range 5 {
+			began := time.Now()
+			is.True(fault.Is(s.apply("k2"), fault.StoreUnavailable))
+			is.True(time.Since(began) < 100*time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.Equal(s.direct.applies+s.peer.applies, sent)
+		is.True(!s.world.Store.Has("k2"))
+		s.world.Link("a", "store").Cut(false)
+		s.world.Link("b", "store").Cut(false)
+		time.Sleep(2 * time.Second)
+		is.NoErr(s.apply("k2"))
+	})
+}
