--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -187,8 +187,10 @@
 const leaseSlack = 400 * time.Millisecond
 
 // leaseOver returns the time at which nothing that was placed on the worker can
-// run any more, if it is not heard of again.
+// run any more, if it is not heard of again. Earlier terms gave leases of
+// holdLease at most too.
 func (w *worker) leaseOver(began boottime.Time, maxHold time.Duration) boottime.Time {
+	maxHold = min(maxHold, holdLease)
 	// What was sent before the life was seen may have begun in it.
 	over := max(began, w.bornSeen).Add(time.Duration(float64(maxHold)/clockRate) + leaseSlack)
 	if w.recv != 0 && w.heldUntil > w.clock {
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -92,7 +92,9 @@
 	// holdSlack is added to that for the answer.
 	holdSlack = 600 * time.Millisecond
 	// holdLease is how long work runs on when the planner is not heard of. It
-	// outlasts the change of a planner and a short outage of the store.
+	// outlasts the change of a planner and a short outage of the store. A new
+	// term waits as long for workers that it never hears of: a version that
+	// lengthens it must first wait for the longer one everywhere.
 	holdLease = 5500 * time.Millisecond
 	// holdRetry is the pause after a hold that was not answered.
 	holdRetry = 200 * time.Millisecond
