--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -117,7 +117,7 @@
 	t.finish(j, model.Completed)
 }
 
-// ended takes in an end that a worker lists.
+// takeEnd takes in an end that a worker lists.
 func (t *term) takeEnd(w *worker, e End) {
 	k := runKey{e.Task, e.Run}
 	m := w.members[k]
@@ -143,6 +143,7 @@
 	t.release(u)
 }
 
+// done takes in that a unit is done; one end represents a whole gang.
 func (t *term) done(w *worker, u *unit) {
 	clear(w.failures)
 	w.punished = 0
@@ -158,6 +159,7 @@
 	t.settle(u.job)
 }
 
+// failed takes in that a run failed, through its own fault or the worker's.
 func (t *term) failed(w *worker, u *unit, e End) {
 	if u.done {
 		return
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -100,6 +100,7 @@
 	return false
 }
 
+// started takes in that a start was answered.
 func (t *term) started(m *member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -101,6 +101,8 @@
 	}
 }
 
+// refreshQueue takes the queue of a job as it is in a configuration; a queue that
+// is gone serves on as it was.
 func (t *term) refreshQueue(j *job, c *model.Config) {
 	if q := c.Queue(j.spec.Queue.Name); q != nil {
 		j.queue = *q
@@ -174,6 +176,7 @@
 	return n
 }
 
+// viewRunning adds the units that hold room on listed workers.
 func (t *term) viewRunning(v *view, now time.Time) {
 	at := make(map[*unit]int)
 	for i, w := range v.workers {
@@ -223,6 +226,7 @@
 	return max(u.step().Estimate.Seconds()-elapsed, minRuntime)
 }
 
+// viewWaiting adds the units that wait, in the order in which they are served.
 func (t *term) viewWaiting(v *view, now time.Time) {
 	var units []*unit
 	var ranks []order.Unit
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -187,7 +187,6 @@
 	if w.failing {
 		t.p.Log.Info("worker reached again", "worker", w.id)
 	}
-	first := !w.heard
 	w.failing, w.clock, w.recv = false, rep.Clock, boottime.Now()
 	if rep.Born != w.born && w.born != 0 {
 		t.reborn(w, rep.Born)
@@ -199,11 +198,8 @@
 		return 0
 	}
 	t.takeList(w, o, sent, rep)
-	switch {
-	case w.seen > w.kept:
+	if w.seen > w.kept {
 		return keepWait
-	case first:
-		return 0
 	}
 	return 0
 }
