Make no timer where there is nothing to wait for

Cause: a wait of 0 made a timer and a select. TestSchedules of internal/peer/claim ended once in the runtime's (*timer).maybeRunChan under such a select in a synctest bubble (roster.(*Keeper).step, pause.For(ctx, 0)). Ruled out: our code below it; the trace ends in the runtime. Change: no timer for a wait of 0 or less. Whether the fault of the runtime is gone can't be shown by one run; the call that met it is.

--- a/internal/core/pause/pause.go
+++ b/internal/core/pause/pause.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// For waits for d or until ctx ends, and reports whether ctx has not ended.
+// For waits for d or until ctx ends, and reports whether ctx has not ended. No
+// timer is made when there is nothing to wait for.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/core/pause/pause_test.go
+++ b/internal/core/pause/pause_test.go
@@ -23,3 +23,13 @@
 		is.Equal(time.Since(began), 2*time.Second)
 	})
 }
+
+func TestForNothing(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	is.Equal(testing.AllocsPerRun(100, func() { pause.For(ctx, 0) }), 0.0) // a timer was made
+	is.True(pause.For(ctx, 0))
+	is.True(pause.For(ctx, -time.Second))
+	cancel()
+	is.True(!pause.For(ctx, 0))
+}
