Write records side by side, and acknowledge each end once its record is kept

Change: up to 8 writes at once, a further one only when it is full; a record waits while it is being written; each end is acknowledged once the store holds a change of its job's record that came with or after it. Looks are at least 3 ms and as long as the last one apart, as they are no longer held up by a write.

--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// batchJobs is the number of jobs whose records fit in one transaction: each
-	// needs two conditions and a put, besides the condition on the lock.
+	// batchJobs is the number of jobs whose records fit in one transaction for
+	// certain: each needs two conditions and a put, besides the condition on the
+	// lock.
 	batchJobs = (store.MaxTxnEntries - 1) / 3
+	// maxWrites bounds the writes that are under way at once. One write alone takes
+	// a round trip for some ten jobs, which is too few a second for a large fleet.
+	maxWrites = 8
 	// commitTimeout bounds one attempt of a write.
 	commitTimeout = 1200 * time.Millisecond
 	// commitRetry is the pause between two attempts.
@@ -26,34 +30,87 @@
 type batch struct {
 	txn  store.Txn
 	rows []batchRow
-	// seen holds the ends that are kept once the write is; nil when other
-	// changes are left for the next one.
-	seen map[*worker]lifeEnd
+	// revision is that of the store once the write is kept.
+	revision int64
 }
 
-// lifeEnd is an end of one life of a worker.
-type lifeEnd struct {
-	born, number int64
+// entries returns the number of entries of the write.
+func (b *batch) entries() int { return len(b.txn.Conditions) + len(b.txn.Puts) }
+
+// unkeptEnd is an end that a worker listed. It is kept once the store holds a
+// change of its job's record.
+type unkeptEnd struct {
+	number int64
+	// job is nil for an end that changed nothing.
+	job    *job
+	change int64
 }
 
+func (e *unkeptEnd) isKept() bool { return e.job == nil || e.job.keptChange >= e.change }
+
 // batchRow is one job of a batch.
 type batchRow struct {
 	job   *job
 	value []byte
 	state model.JobState
+	// change is the record's change that is written.
+	change int64
 	// starts are the members that may start once the write is kept.
 	starts []*member
 }
 
 // touch marks the record of a job to be written.
 func (t *term) touch(j *job) {
+	j.change++
 	if !j.dirty {
 		j.dirty = true
 		t.behind = append(t.behind, j)
 	}
 }
 
-// batch returns the next write, nil for none.
+// flush begins the writes of what changed. Beside a write that is under way only a
+// full one begins: each call of the store is paid for.
+func (t *term) flush() {
+	for t.writes < maxWrites && t.ctx.Err() == nil && (t.writes == 0 || t.fillsBatch()) {
+		b := t.batch()
+		if b == nil {
+			return
+		}
+		t.writes++
+		t.recent.rows += len(b.rows)
+		t.recent.writes++
+		t.loops.Go(func() { t.write(b) })
+	}
+}
+
+// write makes a write and takes in its outcome.
+func (t *term) write(b *batch) {
+	err := t.commit(b)
+	t.mu.Lock()
+	t.writes--
+	t.committed(b, err)
+	t.mu.Unlock()
+	if err == nil {
+		t.poke()
+	}
+}
+
+// fillsBatch reports whether the records that can be written fill a write.
+func (t *term) fillsBatch() bool {
+	n := 0
+	for _, j := range t.behind {
+		if j.writing {
+			continue
+		}
+		if n++; n >= batchJobs {
+			return true
+		}
+	}
+	return false
+}
+
+// batch returns the next write, nil for none. A record that is being written waits:
+// its condition is known only then.
 func (t *term) batch() *batch {
 	if time.Now().Before(t.keepAfter) {
 		return nil
@@ -62,23 +119,26 @@
 	if t.p.off.lockCondition {
 		b.txn.Conditions = nil
 	}
-	n := min(len(t.behind), batchJobs)
-	for _, j := range t.behind[:n] {
+	var left []*job
+	for _, j := range t.behind {
+		if j.writing || b.entries()+maxRowEntries > store.MaxTxnEntries {
+			left = append(left, j)
+			continue
+		}
 		t.addRow(b, j)
 	}
-	t.behind = append([]*job(nil), t.behind[n:]...)
-	if len(t.behind) == 0 {
-		b.seen = t.unkept()
-	}
-	if len(b.rows) > 0 {
-		return b
+	t.behind = left
+	if len(b.rows) == 0 {
+		return nil
 	}
-	t.keepEnds(b.seen)
-	return nil
+	return b
 }
 
+// maxRowEntries is the number of entries of a write that one job takes at most.
+const maxRowEntries = 3
+
 func (t *term) addRow(b *batch, j *job) {
-	row := batchRow{job: j, state: j.state, value: j.encode()}
+	row := batchRow{job: j, state: j.state, value: j.encode(), change: j.change}
 	for _, u := range j.order {
 		for _, m := range u.members {
 			if !m.sent {
@@ -86,7 +146,7 @@
 			}
 		}
 	}
-	j.dirty = false
+	j.dirty, j.writing = false, true
 	b.rows = append(b.rows, row)
 	if !t.p.off.lockCondition {
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
@@ -122,29 +182,35 @@
 	return b
 }
 
-// unkept returns the ends that were taken in and are not kept yet.
-func (t *term) unkept() map[*worker]lifeEnd {
-	seen := make(map[*worker]lifeEnd)
-	for _, w := range t.workers {
-		if w.seen > w.kept {
-			seen[w] = lifeEnd{w.born, w.seen}
-		}
+// owe notes an end that was taken in. What its job's record is behind with may be
+// that end.
+func (t *term) owe(w *worker, e End) {
+	x := unkeptEnd{number: e.Number}
+	if j := t.jobs[e.Task.Job]; j != nil && j.change > j.keptChange {
+		x.job, x.change = j, j.change
 	}
-	return seen
+	w.unkept = append(w.unkept, x)
+	t.owing[w] = true
 }
 
-// keepEnds lets the workers forget the ends that are kept.
-func (t *term) keepEnds(seen map[*worker]lifeEnd) {
-	for w, e := range seen {
-		// A new life numbers its ends anew.
-		if w.born != e.born {
-			continue
-		}
-		w.kept = e.number
-		select {
-		case w.wake <- struct{}{}:
-		default:
-		}
+// keepEnds lets a worker forget the ends that are kept, up to the first that is not.
+func (t *term) keepEnds(w *worker) {
+	n := 0
+	for n < len(w.unkept) && w.unkept[n].isKept() {
+		w.kept = w.unkept[n].number
+		n++
+	}
+	w.unkept = w.unkept[n:]
+	if len(w.unkept) == 0 {
+		w.unkept = nil
+		delete(t.owing, w)
+	}
+	if n == 0 {
+		return
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -168,7 +234,7 @@
 		switch {
 		case err == nil:
 			t.p.Meter.Time("commit_time", time.Since(began))
-			b.keep(revision)
+			b.revision = revision
 			return nil
 		case fault.Is(err, fault.Conflict):
 			return t.conflict(b, current)
@@ -184,12 +250,6 @@
 	}
 }
 
-func (b *batch) keep(revision int64) {
-	for _, row := range b.rows {
-		row.job.revision = revision
-	}
-}
-
 // conflict finds out why a condition did not hold.
 func (t *term) conflict(b *batch, current []store.Item) error {
 	items := make(map[string]store.Item, len(current))
@@ -200,7 +260,7 @@
 	defer t.mu.Unlock()
 	// The write happens as a whole: when one record is as written, all are.
 	if it, ok := items[store.RunKey(b.rows[0].job.id)]; ok && it.Revision != b.rows[0].job.revision && bytes.Equal(it.Value, b.rows[0].value) {
-		b.keep(it.Revision)
+		b.revision = it.Revision
 		// Cancellations that came since then are not to be overtaken by starts.
 		t.takeCancels(b, items)
 		return nil
@@ -239,11 +299,17 @@
 
 // committed takes in the outcome of a write.
 func (t *term) committed(b *batch, err error) {
+	for _, row := range b.rows {
+		row.job.writing = false
+	}
 	if err == nil {
 		for _, row := range b.rows {
+			row.job.revision, row.job.keptChange = b.revision, row.change
 			t.keptRow(row)
 		}
-		t.keepEnds(b.seen)
+		for w := range t.owing {
+			t.keepEnds(w)
+		}
 		return
 	}
 	t.p.Meter.Inc("commit_" + string(fault.KindOf(err)))
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -109,7 +109,7 @@
 func (t *term) settled() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.behind) > 0 || t.keeping {
+	if len(t.behind) > 0 || t.writes > 0 {
 		return false
 	}
 	for _, w := range t.workers {
--- a/internal/fleet/planner/retire.go
+++ b/internal/fleet/planner/retire.go
@@ -33,7 +33,7 @@
 	t.retiredAt = now
 	var old []*job
 	for _, j := range t.jobs {
-		if j.ended() && j.kept && !j.dirty && !j.holdsRoom() && now.Sub(time.UnixMilli(j.endedMS)) > keep {
+		if j.ended() && j.kept && !j.dirty && !j.writing && !j.holdsRoom() && now.Sub(time.UnixMilli(j.endedMS)) > keep {
 			old = append(old, j)
 		}
 	}
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -35,6 +35,11 @@
 	// dirty says that the record in the store is behind; the job is in
 	// term.behind then.
 	dirty bool
+	// writing says that a write of the record is under way.
+	writing bool
+	// change counts the changes of the record, and keptChange those that the store
+	// holds.
+	change, keptChange int64
 	// revision is that of the run record; 0 when there is none.
 	revision int64
 	accepted time.Time
@@ -155,8 +160,9 @@
 	// that was there before.
 	bornSeen boottime.Time
 	// seen is the last end that was taken in, and kept the last that is in the
-	// store as well.
+	// store as well; unkept are those between them.
 	seen, kept int64
+	unkept     []unkeptEnd
 	members    map[runKey]*member
 	// strangers are runs that the worker lists and this term did not place.
 	strangers map[runKey]model.Shape
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -53,8 +53,10 @@
 	configVersion int64
 	// draining says that nothing more is placed.
 	draining bool
-	// keeping says that a write is under way.
-	keeping bool
+	// writes is the number of writes that are under way.
+	writes int
+	// owing are the workers that have listed ends which are not kept yet.
+	owing map[*worker]bool
 	// explainedAt is when the units that wait long were last explained.
 	explainedAt time.Time
 	// retiredAt is when records of ended jobs were last removed.
@@ -63,12 +65,15 @@
 	keepAfter time.Time
 	// jobsAt is the store's revision up to which jobs are known.
 	jobsAt int64
+	// recent is what was done since the last line about the load.
+	recent load
 }
 
 func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
 	return &term{
 		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, began: boottime.Now(),
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
+		owing: make(map[*worker]bool),
 	}
 }
 
@@ -220,6 +225,7 @@
 	defer t.cancel()
 	t.loops.Go(t.followWorkers)
 	t.loops.Go(t.followJobs)
+	t.loops.Go(t.followLoad)
 	timer := time.NewTicker(tick)
 	defer timer.Stop()
 	for t.ctx.Err() == nil {
@@ -229,39 +235,38 @@
 		case <-t.wake:
 		case <-timer.C:
 		}
+		began := time.Now()
 		t.look()
 		t.retire()
+		took := time.Since(began)
+		t.p.Meter.Time("look_time", took)
+		t.mu.Lock()
+		t.recent.look(took)
+		t.mu.Unlock()
+		// What takes in answers needs the processor and the term's lock too.
+		pause.For(t.ctx, max(took, lookPause))
 	}
 }
 
-// look plans once and makes one write of what changed. What is left is written
-// after another look: with a slow store, changes come as fast as they are written,
-// and what waits is not to wait for the last of them.
+// lookPause is the least time between two looks: answers that come together are
+// looked at together.
+const lookPause = 3 * time.Millisecond
+
+// look plans once and begins to write what changed. With a slow store, changes come
+// as fast as they are written, and what waits is not to wait for the last of them.
 func (t *term) look() {
 	if !t.valid() {
 		return
 	}
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := time.Now()
 	t.expire()
 	t.makeDue(now)
 	if !t.draining {
 		t.plan(now)
 	}
-	b := t.batch()
-	t.keeping = b != nil
-	t.mu.Unlock()
-	if b == nil || t.ctx.Err() != nil {
-		return
-	}
-	err := t.commit(b)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.committed(b, err)
-	t.keeping = false
-	if err == nil {
-		t.poke()
-	}
+	t.flush()
 }
 
 // unheardShare is the share of the workers from which this VM, and not they, is
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -212,7 +212,8 @@
 	t.p.Meter.Inc("worker_reborn")
 	w.born, w.heard, w.bornSeen = born, false, boottime.Now()
 	w.token++
-	w.seen, w.kept, w.heldUntil = 0, 0, 0
+	w.seen, w.kept, w.heldUntil, w.unkept = 0, 0, 0, nil
+	delete(t.owing, w)
 	clear(w.strangers)
 	clear(w.failures)
 	w.closedUntil = time.Time{}
@@ -226,7 +227,9 @@
 		}
 		w.seen = e.Number
 		t.takeEnd(w, e)
+		t.owe(w, e)
 	}
+	t.keepEnds(w)
 	listed := make(map[runKey]bool, len(rep.Running))
 	clear(w.strangers)
 	for _, r := range rep.Running {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -352,6 +352,17 @@
 	return t
 }
 
+// Unnoted returns the number of ends that workers list and nobody took note of.
+func (w *World) Unnoted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, x := range w.workers {
+		n += len(x.ends)
+	}
+	return n
+}
+
 // note takes in which ends the planner has taken note of.
 func (w *World) note(x *Worker, lastSeen int64) {
 	kept := x.ends[:0]
