Look at what waits in time that grows with the fleet, not with its square

Cause (profile of a look at 3,000 full workers beside as much waiting work): each search for room filled a map of all workers, each task of a gang weighed all of them anew, gangs of one kind were tried one by one, and the view sorted all workers, the members of each and every waiting unit. Change: scratch space by worker; a place is weighed again only when it changed; what found no room, or could clear none, is remembered for its kind in one call; workers are sorted when their list comes, members when they change, and waiting units by step. Decisions are the same: TestPlanEqualsTheReference, 20,000 random inputs against the plain search.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -111,14 +111,14 @@
 	// coming is free and what stopping units give back, less claims.
 	coming []model.Shape
 	// firm is the room that would be free if all that yields to urgent units were
-	// stopped, and rackFirm the same of each rack in accelerators; rackAll is all
-	// accelerators of the rack.
-	firm              []model.Shape
-	rackFirm, rackAll map[string]int64
-	// byRack holds the workers of each rack.
-	byRack map[string][]int
-	racks  []string
+	// stopped.
+	firm []model.Shape
+	// racks are in the order of their first workers, and rackOf has each worker's.
+	racks  []rack
+	rackOf []int
 	all    []int
+	// seats are the scratch space of a search for room, by worker.
+	seats []seat
 	// stopped marks the running units that this call stops.
 	stopped []bool
 	// holders has the running units of each worker.
@@ -126,15 +126,56 @@
 	// held are workers that are reserved, and for how many seconds a unit may
 	// still use them.
 	held map[int]float64
-	// blocked holds the smallest shapes that found no room, by what else
-	// decides about their place.
-	blocked map[blockKey]model.Shape
-	out     Decision
+	// blocked holds the last shapes that found no room, by what else decides about
+	// their place.
+	blocked map[blockKey]blockedUnit
+	// uncleared holds the urgent units for which no room can be cleared, until
+	// something is stopped.
+	uncleared map[clearKey]bool
+	out       Decision
 }
 
-// blockKey is what decides about the place of a single task besides its shape.
+// rack is a rack with its workers. firm is the room that would be free there if all
+// that yields to urgent units were stopped, and all is all room, in accelerators.
+type rack struct {
+	workers   []int
+	firm, all int64
+}
+
+// seat is what a search for room knows of a worker.
+type seat struct {
+	left  model.Shape
+	count int
+	score float64
+	// units are what has to be stopped for one more task; ok says that it fits then.
+	units []int
+	ok    bool
+	// known says that score, units and ok hold.
+	known bool
+}
+
+// blockKey is what decides about the place of a unit besides its shape.
 type blockKey struct {
 	service, label, rack string
+	tasks                int
+	sameRack             bool
+}
+
+// blockedUnit is a unit that found no room.
+type blockedUnit struct {
+	shape   model.Shape
+	runtime float64
+}
+
+func keyOf(u *Unit) blockKey {
+	return blockKey{u.Service, u.Label, u.Rack, u.Tasks, u.SameRack}
+}
+
+// clearKey is what decides about the room that can be cleared for a unit.
+type clearKey struct {
+	place      blockKey
+	shape      model.Shape
+	guaranteed bool
 }
 
 // Plan decides about the waiting units in their order.
@@ -146,13 +187,19 @@
 	}
 	for i := range in.Waiting {
 		u := &in.Waiting[i]
-		if u.Claim != nil || p.isBlocked(u) {
+		if u.Claim != nil {
 			continue
 		}
-		if ws := p.find(u, p.free, true); ws != nil {
-			p.start(i, ws)
+		blocked := p.isBlocked(u)
+		if blocked && !u.Urgent && (u.Tasks == 1 || reserved >= in.Reservations) {
 			continue
 		}
+		if !blocked {
+			if ws := p.find(u, p.free, true); ws != nil {
+				p.start(i, ws)
+				continue
+			}
+		}
 		if u.Urgent && p.clear(i) {
 			continue
 		}
@@ -166,22 +213,26 @@
 
 func newPlan(in *Input) *plan {
 	p := &plan{
-		in: in, byRack: make(map[string][]int), stopped: make([]bool, len(in.Running)),
-		holders: make([][]int, len(in.Workers)), rackFirm: make(map[string]int64), rackAll: make(map[string]int64),
-		held: make(map[int]float64), blocked: make(map[blockKey]model.Shape),
+		in: in, stopped: make([]bool, len(in.Running)), seats: make([]seat, len(in.Workers)),
+		free: make([]model.Shape, len(in.Workers)), coming: make([]model.Shape, len(in.Workers)), firm: make([]model.Shape, len(in.Workers)),
+		rackOf: make([]int, len(in.Workers)), all: make([]int, len(in.Workers)), holders: make([][]int, len(in.Workers)),
+		held: make(map[int]float64), blocked: make(map[blockKey]blockedUnit), uncleared: make(map[clearKey]bool),
 	}
+	byName := make(map[string]int)
 	for i := range in.Workers {
 		w := &in.Workers[i]
-		p.free = append(p.free, w.Free)
-		p.coming = append(p.coming, w.Free)
-		p.firm = append(p.firm, w.Capacity)
-		p.rackFirm[w.Rack] += w.Capacity.Accelerators
-		p.rackAll[w.Rack] += w.Capacity.Accelerators
-		if p.byRack[w.Rack] == nil {
-			p.racks = append(p.racks, w.Rack)
+		p.free[i], p.coming[i], p.firm[i], p.all[i] = w.Free, w.Free, w.Capacity, i
+		k, ok := byName[w.Rack]
+		if !ok {
+			k = len(p.racks)
+			byName[w.Rack] = k
+			p.racks = append(p.racks, rack{})
 		}
-		p.byRack[w.Rack] = append(p.byRack[w.Rack], i)
-		p.all = append(p.all, i)
+		p.rackOf[i] = k
+		r := &p.racks[k]
+		r.workers = append(r.workers, i)
+		r.firm += w.Capacity.Accelerators
+		r.all += w.Capacity.Accelerators
 	}
 	for i := range in.Running {
 		r := &in.Running[i]
@@ -200,7 +251,7 @@
 // settle takes room that does not yield to urgent units.
 func (p *plan) settle(w int, s model.Shape) {
 	p.firm[w] = p.firm[w].Minus(s)
-	p.rackFirm[p.in.Workers[w].Rack] -= s.Accelerators
+	p.racks[p.rackOf[w]].firm -= s.Accelerators
 }
 
 // claimed starts a unit whose claimed room is free, and keeps the room for it
@@ -246,18 +297,20 @@
 	p.out.Starts = append(p.out.Starts, Start{Unit: i, Workers: workers})
 }
 
-// isBlocked reports whether a smaller task already found no room.
+// isBlocked reports whether as many tasks that are no larger already found no room.
+// Free room only shrinks in one call.
 func (p *plan) isBlocked(u *Unit) bool {
-	if u.Urgent || u.Tasks > 1 || u.PerWorker > 0 || u.Avoid != nil {
+	if u.PerWorker > 0 || u.Avoid != nil || u.Tasks == 1 && u.Urgent {
 		return false
 	}
-	s, ok := p.blocked[blockKey{u.Service, u.Label, u.Rack}]
-	return ok && s.Fits(u.Shape)
+	b, ok := p.blocked[keyOf(u)]
+	// A gang that ends sooner may use a worker that is reserved.
+	return ok && b.shape.Fits(u.Shape) && (u.Tasks == 1 || u.Runtime >= b.runtime)
 }
 
 func (p *plan) block(u *Unit) {
-	if u.Tasks == 1 && u.PerWorker == 0 && u.Avoid == nil {
-		p.blocked[blockKey{u.Service, u.Label, u.Rack}] = u.Shape
+	if u.PerWorker == 0 && u.Avoid == nil {
+		p.blocked[keyOf(u)] = blockedUnit{u.Shape, u.Runtime}
 	}
 }
 
@@ -291,9 +344,9 @@
 func (p *plan) groups(u *Unit) [][]int {
 	var all [][]int
 	if u.SameRack && u.Tasks > 1 {
-		for _, rack := range p.racks {
-			if p.holds(u, rack) {
-				all = append(all, p.byRack[rack])
+		for i := range p.racks {
+			if p.holds(u, p.racks[i].workers) {
+				all = append(all, p.racks[i].workers)
 			}
 		}
 	}
@@ -304,9 +357,9 @@
 }
 
 // holds reports whether a rack could hold a unit if it were empty.
-func (p *plan) holds(u *Unit, rack string) bool {
+func (p *plan) holds(u *Unit, workers []int) bool {
 	n := 0
-	for _, w := range p.byRack[rack] {
+	for _, w := range workers {
 		if p.suits(u, w) {
 			n += times(u.Shape, p.in.Workers[w].Capacity, u.PerWorker)
 		}
@@ -338,36 +391,43 @@
 
 // fill chooses the tightest worker for each task.
 func (p *plan) fill(u *Unit, workers []int, free []model.Shape, backfill bool) []int {
-	left := make(map[int]model.Shape, u.Tasks)
-	count := make(map[int]int, u.Tasks)
 	var suited []int
 	for _, w := range workers {
-		if p.suits(u, w) && u.Shape.Fits(free[w]) && (!backfill || !p.isHeld(u, w)) {
+		if u.Shape.Fits(free[w]) && p.suits(u, w) && (!backfill || !p.isHeld(u, w)) && u.mayTake(w, 0) {
 			suited = append(suited, w)
-			left[w] = free[w]
+			p.seats[w] = seat{left: free[w], score: p.score(u, w, free[w], 0)}
 		}
 	}
 	out := make([]int, 0, u.Tasks)
 	for len(out) < u.Tasks {
-		best, score := -1, 0.0
-		for _, w := range suited {
-			if !u.Shape.Fits(left[w]) || u.PerWorker > 0 && u.Taken[w]+count[w] >= u.PerWorker {
-				continue
-			}
-			if s := p.score(u, w, left[w], count[w]); best < 0 || s < score {
-				best, score = w, s
+		at := -1
+		for i, w := range suited {
+			if w >= 0 && (at < 0 || p.seats[w].score < p.seats[suited[at]].score) {
+				at = i
 			}
 		}
-		if best < 0 {
+		if at < 0 {
 			return nil
 		}
-		out = append(out, best)
-		left[best] = left[best].Minus(u.Shape)
-		count[best]++
+		w := suited[at]
+		out = append(out, w)
+		x := &p.seats[w]
+		x.left = x.left.Minus(u.Shape)
+		x.count++
+		x.score = p.score(u, w, x.left, x.count)
+		if !u.Shape.Fits(x.left) || !u.mayTake(w, x.count) {
+			suited[at] = -1
+		}
 	}
 	return out
 }
 
+// mayTake reports whether one more task of the unit's step may run on a worker beside
+// those that are there and more that are chosen.
+func (u *Unit) mayTake(w, chosen int) bool {
+	return u.PerWorker == 0 || u.Taken[w]+chosen < u.PerWorker
+}
+
 // score weighs the place of a task; less is better. Urgent units gather on few
 // workers and in few racks, so that the room that can be reclaimed stays whole.
 func (p *plan) score(u *Unit, w int, left model.Shape, count int) float64 {
@@ -391,8 +451,8 @@
 
 // rackShare returns the share of a worker's rack that can be reclaimed.
 func (p *plan) rackShare(w int) float64 {
-	rack := p.in.Workers[w].Rack
-	return share(p.rackFirm[rack], p.rackAll[rack])
+	r := &p.racks[p.rackOf[w]]
+	return share(r.firm, r.all)
 }
 
 // tightness weighs the room that stays free on a worker as shares of its
--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -10,6 +11,11 @@
 // least work is lost.
 func (p *plan) clear(i int) bool {
 	u := &p.in.Waiting[i]
+	key := clearKey{keyOf(u), u.Shape, u.Guaranteed}
+	plain := u.PerWorker == 0 && u.Avoid == nil
+	if plain && p.uncleared[key] {
+		return false
+	}
 	var best *clearing
 	for _, group := range p.groups(u) {
 		if c := p.victims(u, group); c != nil && (best == nil || c.loss < best.loss) {
@@ -17,8 +23,14 @@
 		}
 	}
 	if best == nil {
+		if plain {
+			p.uncleared[key] = true
+		}
 		return false
 	}
+	if len(best.units) > 0 {
+		clear(p.uncleared)
+	}
 	for _, r := range best.units {
 		p.stopped[r] = true
 		p.out.Stops = append(p.out.Stops, r)
@@ -37,7 +49,6 @@
 	units   []int
 	loss    float64
 	chosen  map[int]bool
-	left    map[int]model.Shape
 }
 
 // yields reports whether a running unit makes room for an urgent one.
@@ -52,66 +63,78 @@
 // victims chooses, task by task, the worker where the least further work is
 // lost.
 func (p *plan) victims(u *Unit, workers []int) *clearing {
-	c := &clearing{chosen: make(map[int]bool), left: make(map[int]model.Shape)}
+	c := &clearing{chosen: make(map[int]bool)}
 	var suited []int
+	for i := range p.seats {
+		p.seats[i].known = true
+	}
 	for _, w := range workers {
 		if p.suits(u, w) {
 			suited = append(suited, w)
-			c.left[w] = p.coming[w]
+			p.seats[w] = seat{left: p.coming[w]}
 		}
 	}
-	count := make(map[int]int)
 	for len(c.workers) < u.Tasks {
-		best, least := -1, 0.0
-		var units []int
+		best := -1
 		for _, w := range suited {
-			if u.PerWorker > 0 && u.Taken[w]+count[w] >= u.PerWorker {
-				continue
-			}
-			more, loss, ok := p.evict(c, u, w)
-			if !ok {
-				continue
+			x := &p.seats[w]
+			if !x.known {
+				p.weigh(c, u, w)
 			}
-			loss += p.score(u, w, c.left[w], count[w])
-			if best < 0 || loss < least {
-				best, least, units = w, loss, more
+			if x.ok && u.mayTake(w, x.count) && (best < 0 || x.score < p.seats[best].score) {
+				best = w
 			}
 		}
 		if best < 0 {
 			return nil
 		}
-		for _, r := range units {
+		for _, r := range p.seats[best].units {
 			c.chosen[r] = true
 			c.units = append(c.units, r)
 			c.loss += p.in.Running[r].Loss
 			for _, w := range p.in.Running[r].Workers {
-				if s, ok := c.left[w]; ok {
-					c.left[w] = s.Plus(p.in.Running[r].Shape)
-				}
+				p.seats[w].left = p.seats[w].left.Plus(p.in.Running[r].Shape)
+				p.seats[w].known = false
 			}
 		}
-		c.left[best] = c.left[best].Minus(u.Shape)
+		x := &p.seats[best]
+		x.left, x.known = x.left.Minus(u.Shape), false
+		x.count++
 		c.workers = append(c.workers, best)
-		count[best]++
 	}
 	return c
 }
 
+// weigh finds out what one more task on a worker costs.
+func (p *plan) weigh(c *clearing, u *Unit, w int) {
+	x := &p.seats[w]
+	x.known = true
+	x.units, x.score, x.ok = p.evict(c, u, w)
+	if x.ok {
+		x.score += p.score(u, w, x.left, x.count)
+	}
+}
+
 // evict returns the units to stop so that one more task fits on a worker, and
 // the work that is lost.
 func (p *plan) evict(c *clearing, u *Unit, w int) (units []int, loss float64, ok bool) {
-	left := c.left[w]
+	left := p.seats[w].left
 	if u.Shape.Fits(left) {
 		return nil, 0, true
 	}
 	var able []int
-	seen := make(map[int]bool)
+	most := left
 	for _, r := range p.holders[w] {
-		if !seen[r] && !c.chosen[r] && p.yields(r, u) {
-			able = append(able, r)
-			seen[r] = true
+		if !c.chosen[r] && p.yields(r, u) {
+			most = most.Plus(p.in.Running[r].Shape)
+			if !slices.Contains(able, r) {
+				able = append(able, r)
+			}
 		}
 	}
+	if !u.Shape.Fits(most) {
+		return nil, 0, false
+	}
 	sort.SliceStable(able, func(a, b int) bool { return p.in.Running[able[a]].Loss < p.in.Running[able[b]].Loss })
 	for _, r := range able {
 		if u.Shape.Fits(left) {
--- /dev/null
+++ b/internal/decide/placement/reference_test.go
@@ -0,0 +1,257 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"sort"
+	"testing"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+)
+
+// reference decides as Plan does, and looks at every worker anew for each task. It
+// remembers nothing of what found no room before, but for single tasks.
+func reference(in Input) Decision {
+	p := newPlan(&in)
+	reserved := 0
+	for i := range in.Waiting {
+		p.claimed(i)
+	}
+	for i := range in.Waiting {
+		u := &in.Waiting[i]
+		single := u.Tasks == 1 && !u.Urgent
+		if u.Claim != nil || single && p.isBlocked(u) {
+			continue
+		}
+		if ws := p.referenceFind(u, p.free, true); ws != nil {
+			p.start(i, ws)
+			continue
+		}
+		if u.Urgent && p.referenceClear(i) {
+			continue
+		}
+		if u.Tasks == 1 {
+			p.block(u)
+		}
+		if reserved < in.Reservations && u.Tasks > 1 && p.reserve(u) {
+			reserved++
+		}
+	}
+	return p.out
+}
+
+func (p *plan) referenceFind(u *Unit, free []model.Shape, backfill bool) []int {
+	var best []int
+	least := 0.0
+	for _, group := range p.groups(u) {
+		ws := p.referenceFill(u, group, free, backfill)
+		if ws == nil {
+			continue
+		}
+		if left := p.leftover(group, free); best == nil || left < least {
+			best, least = ws, left
+		}
+	}
+	return best
+}
+
+func (p *plan) referenceFill(u *Unit, workers []int, free []model.Shape, backfill bool) []int {
+	left, count := make(map[int]model.Shape), make(map[int]int)
+	var out []int
+	for len(out) < u.Tasks {
+		best, score := -1, 0.0
+		for _, w := range workers {
+			if _, ok := left[w]; !ok {
+				left[w] = free[w]
+			}
+			if !p.suits(u, w) || backfill && p.isHeld(u, w) || !u.Shape.Fits(left[w]) || u.PerWorker > 0 && u.Taken[w]+count[w] >= u.PerWorker {
+				continue
+			}
+			if s := p.score(u, w, left[w], count[w]); best < 0 || s < score {
+				best, score = w, s
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		out = append(out, best)
+		left[best] = left[best].Minus(u.Shape)
+		count[best]++
+	}
+	return out
+}
+
+func (p *plan) referenceClear(i int) bool {
+	u := &p.in.Waiting[i]
+	var best *clearing
+	for _, group := range p.groups(u) {
+		if c := p.referenceVictims(u, group); c != nil && (best == nil || c.loss < best.loss) {
+			best = c
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, r := range best.units {
+		p.stopped[r] = true
+		p.out.Stops = append(p.out.Stops, r)
+		for _, w := range p.in.Running[r].Workers {
+			p.coming[w] = p.coming[w].Plus(p.in.Running[r].Shape)
+		}
+	}
+	p.take(u, best.workers)
+	p.out.Claims = append(p.out.Claims, Start{Unit: i, Workers: best.workers})
+	return true
+}
+
+func (p *plan) referenceVictims(u *Unit, workers []int) *clearing {
+	c := &clearing{chosen: make(map[int]bool)}
+	left, count := make(map[int]model.Shape), make(map[int]int)
+	for _, w := range workers {
+		left[w] = p.coming[w]
+	}
+	for len(c.workers) < u.Tasks {
+		best, least := -1, 0.0
+		var units []int
+		for _, w := range workers {
+			if !p.suits(u, w) || u.PerWorker > 0 && u.Taken[w]+count[w] >= u.PerWorker {
+				continue
+			}
+			more, loss, ok := p.referenceEvict(c, u, w, left[w])
+			if !ok {
+				continue
+			}
+			loss += p.score(u, w, left[w], count[w])
+			if best < 0 || loss < least {
+				best, least, units = w, loss, more
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		for _, r := range units {
+			c.chosen[r] = true
+			c.units = append(c.units, r)
+			c.loss += p.in.Running[r].Loss
+			for _, w := range p.in.Running[r].Workers {
+				left[w] = left[w].Plus(p.in.Running[r].Shape)
+			}
+		}
+		left[best] = left[best].Minus(u.Shape)
+		c.workers = append(c.workers, best)
+		count[best]++
+	}
+	return c
+}
+
+func (p *plan) referenceEvict(c *clearing, u *Unit, w int, left model.Shape) (units []int, loss float64, ok bool) {
+	if u.Shape.Fits(left) {
+		return nil, 0, true
+	}
+	var able []int
+	for _, r := range p.holders[w] {
+		if !slices.Contains(able, r) && !c.chosen[r] && p.yields(r, u) {
+			able = append(able, r)
+		}
+	}
+	sort.SliceStable(able, func(a, b int) bool { return p.in.Running[able[a]].Loss < p.in.Running[able[b]].Loss })
+	for _, r := range able {
+		if u.Shape.Fits(left) {
+			break
+		}
+		units = append(units, r)
+		left = left.Plus(p.on(r, w))
+	}
+	if !u.Shape.Fits(left) {
+		return nil, 0, false
+	}
+	kept := make([]int, 0, len(units))
+	for k := len(units) - 1; k >= 0; k-- {
+		if less := left.Minus(p.on(units[k], w)); u.Shape.Fits(less) {
+			left = less
+			continue
+		}
+		kept = append(kept, units[k])
+		loss += p.in.Running[units[k]].Loss
+	}
+	return kept, loss, true
+}
+
+// randomInput returns a fleet of a few racks that is nearly full.
+func randomInput(rng *rand.Rand) Input {
+	in := Input{Reservations: rng.IntN(3)}
+	workers := 2 + rng.IntN(12)
+	whole := model.Shape{MilliCPU: 64000, MemoryMB: 64000, Accelerators: 8}
+	sizes := []int64{1, 2, 4, 8}
+	shape := func() model.Shape {
+		return model.Shape{MilliCPU: int64(1+rng.IntN(30)) * 1000, MemoryMB: 4000, Accelerators: sizes[rng.IntN(len(sizes))]}
+	}
+	for i := range workers {
+		in.Workers = append(in.Workers, Worker{ID: fmt.Sprint(i), Rack: fmt.Sprint(i / 4), Capacity: whole, Free: whole, Open: rng.IntN(10) > 0})
+	}
+	for range workers * 3 {
+		r := Running{
+			Shape: shape(), Urgent: rng.IntN(3) == 0, Loss: float64(rng.IntN(1000)), EndsIn: float64(rng.IntN(100)) / 10,
+			Stopping: rng.IntN(6) == 0, Fixed: rng.IntN(20) == 0,
+		}
+		r.Guaranteed = r.Urgent && rng.IntN(2) == 0
+		for range 1 + rng.IntN(3) {
+			if w := rng.IntN(workers); r.Shape.Fits(in.Workers[w].Free) {
+				in.Workers[w].Free = in.Workers[w].Free.Minus(r.Shape)
+				r.Workers = append(r.Workers, w)
+			}
+		}
+		if len(r.Workers) > 0 {
+			in.Running = append(in.Running, r)
+		}
+	}
+	for range 1 + rng.IntN(20) {
+		u := Unit{Tasks: 1, Shape: shape(), Urgent: rng.IntN(3) == 0, Runtime: float64(rng.IntN(80)) / 10}
+		if rng.IntN(2) == 0 {
+			u.Tasks, u.SameRack = 1+rng.IntN(5), rng.IntN(2) == 0
+		}
+		u.Guaranteed = u.Urgent && rng.IntN(2) == 0
+		if rng.IntN(5) == 0 {
+			u.PerWorker, u.Taken = 1+rng.IntN(2), make(map[int]int)
+		}
+		if rng.IntN(8) == 0 {
+			u.Avoid = map[int]bool{rng.IntN(workers): true}
+		}
+		if rng.IntN(10) == 0 {
+			u.Rack = "0"
+		}
+		in.Waiting = append(in.Waiting, u)
+		// Units of one kind wait side by side.
+		for range rng.IntN(3) {
+			if u.PerWorker == 0 {
+				in.Waiting = append(in.Waiting, u)
+			}
+		}
+	}
+	return in
+}
+
+// copied returns an input that shares nothing that a decision changes.
+func (in Input) copied() Input {
+	in.Waiting = slices.Clone(in.Waiting)
+	for i := range in.Waiting {
+		if in.Waiting[i].Taken != nil {
+			in.Waiting[i].Taken = make(map[int]int)
+		}
+	}
+	return in
+}
+
+// TestPlanEqualsTheReference shows that what a call of Plan remembers changes nothing
+// that it decides.
+func TestPlanEqualsTheReference(t *testing.T) {
+	for seed := range uint64(20000) {
+		in := randomInput(rand.New(rand.NewPCG(seed, 1)))
+		got, want := Plan(in.copied()), reference(in.copied())
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("seed %d:\n got %+v\nwant %+v", seed, got, want)
+		}
+	}
+}
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -295,7 +295,7 @@
 // drop takes a member off its worker and its unit.
 func (t *term) drop(w *worker, m *member) {
 	m.gone = true
-	delete(w.members, runKey{m.task(), m.run})
+	w.remove(m)
 	left := m.unit.members[:0]
 	for _, x := range m.unit.members {
 		if x != m {
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -37,6 +37,8 @@
 	running []*unit
 	// counts holds the tasks on each worker of the steps that bound them.
 	counts map[stepKey]map[int]int
+	// racks are those of the workers.
+	racks map[string]bool
 }
 
 // stepKey names one occurrence of a step.
@@ -104,22 +106,12 @@
 }
 
 func (t *term) view(now time.Time) *view {
-	v := &view{index: make(map[string]int, len(t.workers))}
+	v := &view{workers: t.listed, index: make(map[string]int, len(t.listed)), racks: make(map[string]bool)}
 	v.in.Reservations = reservations
-	for _, w := range t.workers {
-		if w.listed {
-			v.workers = append(v.workers, w)
-		}
-	}
-	sort.Slice(v.workers, func(i, j int) bool {
-		a, b := v.workers[i], v.workers[j]
-		if a.info.Rack != b.info.Rack {
-			return a.info.Rack < b.info.Rack
-		}
-		return a.id < b.id
-	})
+	v.in.Workers = make([]placement.Worker, 0, len(v.workers))
 	for i, w := range v.workers {
 		v.index[w.id] = i
+		v.racks[w.info.Rack] = true
 		v.in.Workers = append(v.in.Workers, placement.Worker{
 			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.used()),
@@ -132,6 +124,23 @@
 	return v
 }
 
+// listWorkers brings the listed workers up to date, by rack.
+func (t *term) listWorkers() {
+	t.listed = t.listed[:0:0]
+	for _, w := range t.workers {
+		if w.listed {
+			t.listed = append(t.listed, w)
+		}
+	}
+	sort.Slice(t.listed, func(i, j int) bool {
+		a, b := t.listed[i], t.listed[j]
+		if a.info.Rack != b.info.Rack {
+			return a.info.Rack < b.info.Rack
+		}
+		return a.id < b.id
+	})
+}
+
 // guarantees marks the urgent jobs that stand within their account's guarantee,
 // the oldest first.
 func (t *term) guarantees() {
@@ -220,38 +229,63 @@
 	return max(u.step().Estimate.Seconds()-elapsed, minRuntime)
 }
 
+// waitingStep is the units of one occurrence of a step that wait; they are served one
+// after the other.
+type waitingStep struct {
+	stepKey
+	units []*unit
+}
+
 // viewWaiting adds the units that wait, in the order in which they are served.
 func (t *term) viewWaiting(v *view, now time.Time) {
-	var units []*unit
-	var ranks []order.Unit
+	var steps []waitingStep
 	for _, j := range t.live {
-		for _, u := range j.order {
-			if !u.waits() || !j.turn(u) {
-				continue
-			}
+		steps = j.waitingSteps(steps)
+	}
+	// The order of a map is random; equal ranks are to stay in one order.
+	sort.Slice(steps, func(a, b int) bool { return steps[a].before(&steps[b]) })
+	ranks, n := make([]order.Unit, len(steps)), 0
+	for i := range steps {
+		ranks[i] = steps[i].units[0].rank(now)
+		n += len(steps[i].units)
+	}
+	v.waiting, v.in.Waiting = make([]*unit, 0, n), make([]placement.Unit, 0, n)
+	for _, k := range order.Sort(ranks) {
+		for _, u := range steps[k].units {
 			if u.readyAt.IsZero() {
 				u.readyAt = now
 			}
-			units = append(units, u)
-			ranks = append(ranks, u.rank(now))
+			v.waiting = append(v.waiting, u)
+			v.in.Waiting = append(v.in.Waiting, t.waiting(v, u, now))
 		}
 	}
-	// The order of a map is random; equal ranks are to stay in one order.
-	byID := make([]int, len(units))
-	for i := range byID {
-		byID[i] = i
-	}
-	sort.Slice(byID, func(a, b int) bool { return units[byID[a]].before(units[byID[b]]) })
-	sorted, sortedRanks := make([]*unit, len(units)), make([]order.Unit, len(units))
-	for i, k := range byID {
-		sorted[i], sortedRanks[i] = units[k], ranks[k]
-	}
-	for _, k := range order.Sort(sortedRanks) {
-		v.waiting = append(v.waiting, sorted[k])
-		v.in.Waiting = append(v.in.Waiting, t.waiting(v, sorted[k], now))
+}
+
+// waitingSteps appends the steps of a job whose turn has come and of which units wait.
+// The units of a step stand side by side in the job's order.
+func (j *job) waitingSteps(steps []waitingStep) []waitingStep {
+	var at *waitingStep
+	turn := false
+	for _, u := range j.order {
+		k := stepKey{j, u.key.occurrence, u.key.step}
+		if !u.waits() {
+			continue
+		}
+		if at == nil || at.stepKey != k {
+			if turn = j.turn(u); turn {
+				steps = append(steps, waitingStep{stepKey: k})
+				at = &steps[len(steps)-1]
+			}
+		}
+		if turn {
+			at.units = append(at.units, u)
+		}
 	}
+	return steps
 }
 
+func (s *waitingStep) before(o *waitingStep) bool { return s.units[0].before(o.units[0]) }
+
 func (u *unit) before(o *unit) bool {
 	if u.job != o.job {
 		if !u.job.accepted.Equal(o.job.accepted) {
@@ -312,7 +346,7 @@
 	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > scatterAge {
 		x.SameRack = false
 	}
-	if v.hasRack(s.Rack) {
+	if v.racks[s.Rack] {
 		x.Rack = s.Rack
 	}
 	if s.PerWorker > 0 {
@@ -332,10 +366,6 @@
 	return x
 }
 
-func (v *view) hasRack(rack string) bool {
-	return rack != "" && slices.ContainsFunc(v.workers, func(w *worker) bool { return w.info.Rack == rack })
-}
-
 // taken counts the tasks of a unit's step on each worker.
 func (v *view) taken(u *unit) map[int]int {
 	k := stepKey{u.job, u.key.occurrence, u.key.step}
@@ -393,7 +423,7 @@
 		}
 		m := &member{unit: u, index: index, run: u.run, token: w.token, worker: w.id, born: w.born}
 		u.members = append(u.members, m)
-		w.members[runKey{m.task(), m.run}] = m
+		w.add(m)
 	}
 	t.touch(u.job)
 	if t.p.off.placementFirst {
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -166,6 +166,8 @@
 	seen, kept int64
 	unkept     []unkeptEnd
 	members    map[runKey]*member
+	// inOrder are the members in a fixed order; nil when they have changed since.
+	inOrder []*member
 	// strangers are runs that the worker lists and this term did not place.
 	strangers map[runKey]model.Shape
 	// closedUntil keeps new work away from a worker that failed work.
@@ -183,6 +185,18 @@
 	wake chan struct{}
 }
 
+// add notes that a member holds room on the worker.
+func (w *worker) add(m *member) {
+	w.members[runKey{m.task(), m.run}] = m
+	w.inOrder = nil
+}
+
+// remove notes that a member holds no room there any more.
+func (w *worker) remove(m *member) {
+	delete(w.members, runKey{m.task(), m.run})
+	w.inOrder = nil
+}
+
 // used returns the room that is in use or may be.
 func (w *worker) used() model.Shape {
 	var s model.Shape
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -45,7 +45,9 @@
 	// live are the jobs that have not ended.
 	live    map[string]*job
 	workers map[string]*worker
-	ended   string
+	// listed are the workers that the platform lists, by rack.
+	listed []*worker
+	ended  string
 	// behind are the jobs whose records are to be written, in the order in
 	// which they changed.
 	behind []*job
@@ -191,8 +193,7 @@
 func (t *term) adopt(j *job) {
 	for _, u := range j.order {
 		for _, m := range u.members {
-			w := t.workerOf(m.worker)
-			w.members[runKey{m.task(), m.run}] = m
+			t.workerOf(m.worker).add(m)
 		}
 	}
 }
@@ -310,8 +311,12 @@
 	}
 }
 
-// sorted returns the members of a worker in a fixed order.
+// sorted returns the members of a worker in a fixed order. The slice is not changed
+// when members come and go.
 func (w *worker) sorted() []*member {
+	if w.inOrder != nil || len(w.members) == 0 {
+		return w.inOrder
+	}
 	all := make([]*member, 0, len(w.members))
 	for _, m := range w.members {
 		all = append(all, m)
@@ -328,6 +333,7 @@
 		}
 		return a.Index < b.Index
 	})
+	w.inOrder = all
 	return all
 }
 
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -82,6 +82,7 @@
 			delete(t.workers, id)
 		}
 	}
+	t.listWorkers()
 }
 
 const (
