--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -21,6 +21,8 @@
 	Bounds       Bounds
 	// Cores is the processor share of the VM in cores.
 	Cores float64
+	// Descriptors bounds the file descriptors of the process; 0 for no bound.
+	Descriptors int
 }
 
 // Bounds are the times that the platform states.
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -160,6 +160,47 @@
 	}
 }
 
+// rebornBesideAStart plays a worker that begins a new life while a start is repeated:
+// the task is done in the new life before that has been heard of.
+func rebornBesideAStart(t *testing.T, down time.Duration, anyConnection bool) (broken []string) {
+	bubble(t, func(t *testing.T) {
+		s := newScene(t, 1, 1)
+		s.world.AnyConnection = anyConnection
+		defer s.close()
+		s.start("a")
+		time.Sleep(time.Second)
+		const before = 4
+		for i := range before {
+			s.submit(jobID(i), "solve", 200*time.Millisecond, step(1, 1, false))
+		}
+		time.Sleep(2 * time.Second)
+		s.submit(jobID(before), "solve", 30*time.Millisecond, step(1, 1, false))
+		s.world.Crash("w0")
+		time.Sleep(down)
+		s.world.Restart("w0")
+		if open := s.await(20 * time.Second); len(open) > 0 {
+			broken = append(broken, fmt.Sprintf("LOST: %v", open))
+		}
+		broken = append(broken, s.world.Violations()...)
+	})
+	return broken
+}
+
+// TestEndsNeedTheirConnection shows that ends may be acknowledged only on a connection
+// on which their life has answered: a new life numbers its ends from 1 again.
+func TestEndsNeedTheirConnection(t *testing.T) {
+	needed := false
+	for down := restartTime; down < 600*time.Millisecond; down += 10 * time.Millisecond {
+		if broken := rebornBesideAStart(t, down, false); len(broken) > 0 {
+			t.Errorf("down for %v: %v", down, broken)
+		}
+		needed = needed || len(rebornBesideAStart(t, down, true)) > 0
+	}
+	if !needed {
+		t.Error("on any connection: no schedule breaks a promise")
+	}
+}
+
 // resumed plays a planner that is suspended until after the next one took over
 // and that alone reaches a worker then.
 func resumed(t *testing.T, off func(p *planner.Planner)) (broken []string) {
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -10,8 +10,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 )
 
 // TaskID names a task.
@@ -44,9 +42,10 @@
 	Deadline time.Duration
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
-	// SendBy is when the order must have been sent: a later one may meet a new
-	// life, whose ends have the same numbers.
-	SendBy boottime.Time
+	// Born is the life whose end LastSeen is. A new life numbers its ends from 1
+	// again, so LastSeen is sent only on a connection on which this life has
+	// answered.
+	Born int64
 }
 
 // RunReport is a run that a worker lists.
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -100,9 +100,6 @@
 	holdLease = 5500 * time.Millisecond
 	// holdRetry is the pause after a hold that was not answered.
 	holdRetry = 200 * time.Millisecond
-	// lifeGap is the time after an answer within which the same life is met: a
-	// machine does not start anew as fast.
-	lifeGap = 100 * time.Millisecond
 	// keepWait bounds the wait for the ends to be kept before the next hold.
 	keepWait = 300 * time.Millisecond
 )
@@ -148,11 +145,7 @@
 
 // holdOrder returns the next hold for a worker.
 func (t *term) holdOrder(w *worker, now boottime.Time) HoldOrder {
-	o := HoldOrder{Token: w.token, LastSeen: w.kept, SendBy: now.Add(lifeGap)}
-	if w.failing || w.recv == 0 || now.Sub(w.recv) > lifeGap {
-		// A new life may answer, whose ends have the same numbers.
-		o.LastSeen = 0
-	}
+	o := HoldOrder{Token: w.token, LastSeen: w.kept, Born: w.born}
 	if t.p.off.endFirst {
 		o.LastSeen = w.seen
 	}
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -170,7 +170,7 @@
 	}
 	rep, err := client.Hold(r.Context(), planner.HoldOrder{
 		Token: b.Token, LastSeen: b.LastSeen, Deadline: time.Duration(b.DeadlineMS) * time.Millisecond,
-		Wait: time.Duration(b.WaitMS) * time.Millisecond, SendBy: 1 << 62,
+		Wait: time.Duration(b.WaitMS) * time.Millisecond,
 	})
 	if err != nil {
 		answerOrder(rw, err)
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
@@ -303,6 +302,13 @@
 type Client struct {
 	Worker *Worker
 	Link   *Link
+	// AnyConnection acknowledges ends also on a connection on which their life has
+	// not answered.
+	AnyConnection bool
+
+	// connected is the life on whose connection the last hold was answered, and born
+	// what that life said of itself; 0 for none.
+	connected, born int64
 }
 
 // Start implements planner.WorkerClient.
@@ -335,6 +341,7 @@
 // listed is the answer to a hold.
 type listed struct {
 	report planner.Report
+	life   int64
 	err    error
 }
 
@@ -342,27 +349,36 @@
 func (c *Client) Hold(ctx context.Context, o planner.HoldOrder) (planner.Report, error) {
 	until := time.Now().Add(o.Wait)
 	answers := make(chan listed, 1)
-	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) { answers <- c.hold(ctx, o, until) })
+	on := c.connected
+	if (on == 0 || o.Born != c.born) && !c.AnyConnection {
+		o.LastSeen = 0
+	}
+	c.connected = 0
+	err := c.Link.call(ctx, fault.NotStarted, c.Worker.life, func(ctx context.Context) { answers <- c.hold(ctx, o, until, on) })
 	if err != nil {
 		return planner.Report{}, err
 	}
 	a := <-answers
+	if a.err == nil {
+		c.connected, c.born = a.life, a.report.Born
+	}
 	return a.report, c.down(a.err)
 }
 
-// hold waits for an end, as long as the life goes on that the call came to.
-func (c *Client) hold(ctx context.Context, o planner.HoldOrder, until time.Time) listed {
-	if boottime.Now() > o.SendBy {
-		return listed{err: fault.New(fault.Unreachable, "not sent in time")}
-	}
+// hold waits for an end, as long as the life goes on that the call came to. on is the
+// life whose connection the call is made on, 0 for a new connection.
+func (c *Client) hold(ctx context.Context, o planner.HoldOrder, until time.Time, on int64) listed {
 	life := c.Worker.life()
+	if on != 0 && on != life && !c.AnyConnection {
+		return listed{err: fault.New(fault.AnswerLost, "the connection ended with its life")}
+	}
 	for {
 		if c.Worker.life() != life {
 			return listed{err: fault.New(fault.Unreachable, "down")}
 		}
 		rep, err := c.Worker.hold(o)
 		if err != nil || len(rep.Ends) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
-			return listed{rep, err}
+			return listed{rep, life, err}
 		}
 		time.Sleep(tick)
 	}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -41,6 +41,8 @@
 type World struct {
 	Store  *Store
 	Bounds Bounds
+	// AnyConnection is that of the clients.
+	AnyConnection bool
 	// CancelTime is how long after a cancellation a start is still allowed.
 	CancelTime time.Duration
 
@@ -128,7 +130,7 @@
 // Dial returns a VM's clients of the workers.
 func (w *World) Dial(vm string) func(id, address string) planner.WorkerClient {
 	return func(id, _ string) planner.WorkerClient {
-		return &Client{Worker: w.Worker(id), Link: w.Link(vm, id)}
+		return &Client{Worker: w.Worker(id), Link: w.Link(vm, id), AnyConnection: w.AnyConnection}
 	}
 }
 
