Pace the first holds of a term, and let calls allow for the way

Cause: at 300 VMs a new planner called 3,000 workers at once (1,923 new connections a second, 5,530 open): calls timed out after 0.6 s, were made again on new connections, and leases ran out (805 runs lapsed, of 9,678). Orders timed out after 0.35 s whatever the way. Change: 64 holds at a time to workers that were not heard of yet, those with work first, and 64 to those that did not answer the last; the timeouts of holds and orders allow for twice the shortest way that was seen, at most 1 s; a fleet of over 500 workers is held less often, at least each 2 s; nothing is viewed while a term still hears of its workers.

--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// orderTimeout bounds one attempt of a start or a stop.
+	// orderTimeout bounds one attempt of a start or a stop, besides the way there and
+	// back on a new connection.
 	orderTimeout = 350 * time.Millisecond
 	// startWindow is how long a start may take effect: an order that is carried
-	// out later comes late at the worker.
+	// out later comes late at the worker. The way comes on top, as for startTime.
 	startWindow = 1500 * time.Millisecond
 	// startTime bounds the attempts of a start.
 	startTime = 1300 * time.Millisecond
@@ -36,20 +37,20 @@
 	now := boottime.Now()
 	order := StartOrder{
 		Task: m.task(), Run: m.run, Specification: m.unit.job.spec.Job.Specification,
-		Deadline: w.now(now) + startWindow, Token: m.token, Checkpoint: m.unit.saved,
+		Deadline: w.now(now) + startWindow + 2*w.way, Token: m.token, Checkpoint: m.unit.saved,
 	}
 	w.heldUntil = max(w.heldUntil, order.Deadline)
 	m.sent, m.starting = true, true
-	client := w.client
-	t.loops.Go(func() { t.sendStart(m, client, order, now.Add(startTime)) })
+	client, way := w.client, w.way
+	t.loops.Go(func() { t.sendStart(m, client, order, now.Add(startTime+2*way), orderTimeout+2*way) })
 }
 
 // sendStart repeats a start until it is answered or its time is over.
-func (t *term) sendStart(m *member, client WorkerClient, order StartOrder, until boottime.Time) {
+func (t *term) sendStart(m *member, client WorkerClient, order StartOrder, until boottime.Time, timeout time.Duration) {
 	unanswered := false
 	began := time.Now()
 	for t.ctx.Err() == nil && t.valid() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		err := client.Start(ctx, order)
 		cancel()
 		if err == nil {
@@ -185,10 +186,10 @@
 		return
 	}
 	m.stopSent = time.Now()
-	client, token := w.client, w.token
+	client, token, timeout := w.client, w.token, orderTimeout+2*w.way
 	task, run := m.task(), m.run
 	t.loops.Go(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		err := client.Stop(ctx, task, run, token)
 		if err != nil {
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -49,10 +49,13 @@
 
 // plan places what waits.
 func (t *term) plan(now time.Time) {
+	if t.settling() {
+		return
+	}
 	t.refreshQueues()
 	v := t.view(now)
 	t.explainLong(v, now)
-	if len(v.waiting) == 0 || t.settling() {
+	if len(v.waiting) == 0 {
 		return
 	}
 	d := t.p.Decide(v.in)
@@ -73,16 +76,19 @@
 }
 
 const (
-	// settleTime bounds the pause at the start of a term in which workers are
-	// heard of; placing on the first few would pre-empt for nothing.
+	// settleTime and settleEach, for each worker, bound the pause at the start of a
+	// term in which workers are heard of; placing on the first few would pre-empt for
+	// nothing.
 	settleTime = 500 * time.Millisecond
+	settleEach = 400 * time.Microsecond
 	// settledShare is the share of the workers that ends that pause.
 	settledShare = 0.9
 )
 
 // settling reports whether the term has not heard of most workers yet.
 func (t *term) settling() bool {
-	return boottime.Since(t.began) <= settleTime && t.heardShare() < settledShare
+	bound := settleTime + time.Duration(len(t.listed))*settleEach
+	return boottime.Since(t.began) <= bound && t.heardShare() < settledShare
 }
 
 // refreshQueues takes the queues of the newest configuration.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -158,6 +158,8 @@
 	clock     time.Duration
 	recv      boottime.Time
 	heldUntil time.Duration
+	// way is the least time that an answer took which the worker did not keep back.
+	way time.Duration
 	// bornSeen is when this term saw the present life begin; zero for a life
 	// that was there before.
 	bornSeen boottime.Time
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -39,6 +39,9 @@
 	// wake asks for a look at what waits.
 	wake  chan struct{}
 	loops sync.WaitGroup
+	// first and again bound the holds of workers that were not heard of yet, and of
+	// those that did not answer the last.
+	first, again turnstile
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -75,7 +78,7 @@
 	return &term{
 		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, began: boottime.Now(),
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
-		owing: make(map[*worker]bool),
+		owing: make(map[*worker]bool), first: make(turnstile, unheardCalls), again: make(turnstile, unheardCalls),
 	}
 }
 
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
@@ -52,6 +53,8 @@
 // takeWorkers takes the platform's list of workers.
 func (t *term) takeWorkers(all []model.Worker) {
 	listed := make(map[string]bool, len(all))
+	// Those that hold work are asked first: its leases run out.
+	sort.SliceStable(all, func(i, j int) bool { return t.holdsWork(all[i].ID) && !t.holdsWork(all[j].ID) })
 	for _, info := range all {
 		listed[info.ID] = true
 		w := t.workerOf(info.ID)
@@ -85,14 +88,30 @@
 	t.listWorkers()
 }
 
+// holdsWork reports whether work is placed on a worker.
+func (t *term) holdsWork(id string) bool {
+	w := t.workers[id]
+	return w != nil && len(w.members) > 0
+}
+
 const (
 	// holdWait is how long a worker with work may keep the answer to a hold
-	// back until a run ends.
-	holdWait = 1000 * time.Millisecond
+	// back until a run ends. In a fleet of over waitWorkers it grows with the number
+	// of workers, up to idleWait: each hold is paid for.
+	holdWait    = 1000 * time.Millisecond
+	waitWorkers = 500
 	// idleWait is the same for a worker without work.
 	idleWait = 2000 * time.Millisecond
-	// holdSlack is added to that for the answer.
+	// holdSlack is added to that for the answer, besides the way there and back.
 	holdSlack = 600 * time.Millisecond
+	// firstSlack is that of a worker that was not heard of yet.
+	firstSlack = 1200 * time.Millisecond
+	// maxWay bounds the way to a worker and back that calls allow for.
+	maxWay = time.Second
+	// unheardCalls bounds the holds that are under way to workers that were not heard
+	// of yet, and to those that did not answer the last: all at once would take the
+	// processor and the link from the others.
+	unheardCalls = 64
 	// holdLease is how long work runs on when the planner is not heard of. It
 	// outlasts the change of a planner and a short outage of the store. A new
 	// term waits as long for workers that it never hears of: a version that
@@ -104,34 +123,48 @@
 	keepWait = 300 * time.Millisecond
 )
 
+// turnstile bounds the calls of a kind that are under way.
+type turnstile chan struct{}
+
+// enter waits for a turn; it reports false when ctx ends first.
+func (s turnstile) enter(ctx context.Context) bool {
+	select {
+	case s <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s turnstile) leave() { <-s }
+
+// turnstileOf returns what bounds the next hold of a worker, nil for nothing.
+func (t *term) turnstileOf(w *worker) turnstile {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case w.failing:
+		return t.again
+	case w.recv == 0:
+		return t.first
+	}
+	return nil
+}
+
 // holdLoop prolongs the leases of a worker and takes in what it lists.
 func (t *term) holdLoop(w *worker) {
 	for t.ctx.Err() == nil {
-		if !t.valid() {
-			pause.For(t.ctx, retryPause)
-			continue
-		}
-		t.mu.Lock()
-		if t.workers[w.id] != w {
-			t.mu.Unlock()
-			w.client.Close()
+		s := t.turnstileOf(w)
+		if s != nil && !s.enter(t.ctx) {
 			return
 		}
-		sent := boottime.Now()
-		order := t.holdOrder(w, sent)
-		client := w.client
-		t.mu.Unlock()
-		ctx, cancel := context.WithTimeout(t.ctx, order.Wait+holdSlack)
-		began := time.Now()
-		rep, err := client.Hold(ctx, order)
-		cancel()
-		if t.ctx.Err() != nil {
+		rest, more := t.holdOnce(w)
+		if s != nil {
+			s.leave()
+		}
+		if !more {
 			return
 		}
-		t.p.Meter.Time("hold_call_time", time.Since(began))
-		t.mu.Lock()
-		rest := t.held(w, order, sent, &rep, err)
-		t.mu.Unlock()
 		t.poke()
 		if rest > 0 {
 			select {
@@ -143,6 +176,54 @@
 	}
 }
 
+// holdOnce makes one hold and returns how long to rest; more is false when the worker
+// is forgotten or the term has ended.
+func (t *term) holdOnce(w *worker) (rest time.Duration, more bool) {
+	if !t.valid() {
+		return retryPause, true
+	}
+	t.mu.Lock()
+	if t.workers[w.id] != w {
+		t.mu.Unlock()
+		w.client.Close()
+		return 0, false
+	}
+	sent := boottime.Now()
+	order := t.holdOrder(w, sent)
+	timeout := order.Wait + w.holdSlack()
+	client := w.client
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	rep, err := client.Hold(ctx, order)
+	cancel()
+	if t.ctx.Err() != nil {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	took := boottime.Since(sent)
+	t.p.Meter.Time("hold_call_time", took)
+	if err == nil && order.Wait == 0 {
+		w.noteWay(took)
+	}
+	return t.held(w, order, sent, &rep, err), true
+}
+
+// holdSlack returns how long a hold may take besides its wait.
+func (w *worker) holdSlack() time.Duration {
+	if w.recv == 0 {
+		return firstSlack
+	}
+	return holdSlack + 2*w.way
+}
+
+// noteWay notes how long a call took that the worker answers at once.
+func (w *worker) noteWay(took time.Duration) {
+	if w.way == 0 || took < w.way {
+		w.way = min(took, maxWay)
+	}
+}
+
 // holdOrder returns the next hold for a worker.
 func (t *term) holdOrder(w *worker, now boottime.Time) HoldOrder {
 	o := HoldOrder{Token: w.token, LastSeen: w.kept, Born: w.born}
@@ -158,7 +239,7 @@
 	w.heldUntil = max(w.heldUntil, o.Deadline)
 	o.Wait = idleWait
 	if len(w.members) > 0 || len(w.strangers) > 0 {
-		o.Wait = holdWait
+		o.Wait = min(max(holdWait, holdWait*time.Duration(len(t.listed))/waitWorkers), idleWait)
 	}
 	return o
 }
@@ -278,9 +359,9 @@
 	w.strangers[k] = shape
 	t.p.Meter.Inc("run_unknown")
 	t.p.Log.Info("run of unknown origin stopped", "job", k.task.Job, "task", k.task, "run", k.run, "worker", w.id)
-	token, client := w.token, w.client
+	token, client, timeout := w.token, w.client, orderTimeout+2*w.way
 	t.loops.Go(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		if err := client.Stop(ctx, k.task, k.run, token); err != nil {
 			t.p.Meter.Inc("stop_" + string(fault.KindOf(err)))
