Keep a panic in one duty from ending the process

It could happen here: a panic in any goroutine of the planner, of the follower of the configuration, or of the list of VMs ended the daemon, and one odd record would have ended each next planner's process in turn. Change: core/duty runs a duty, logs a panic with its stack, counts it (panic_recovered) and begins the duty anew; in the planner a panic ends the term alone, and the next term reads what stands. The planner's lock is given back by a panic. Test: TestAPanicEndsTheTermAlone (before, the test's process ends); core/duty.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -117,7 +118,7 @@
 	began := boottime.Now()
 	it, found, err := f.Store.Get(ctx, f.Key)
 	if err == nil && found {
-		f.take(it)
+		err = duty.Try(f.Log, f.Meter, "take a configuration", func() { f.take(it) })
 	}
 	if err == nil {
 		f.confirmed.Store(int64(began))
@@ -140,14 +141,13 @@
 	if it.Revision == f.revision {
 		return
 	}
+	f.revision = it.Revision
 	c, err := f.Decode(it.Value)
 	if err != nil {
 		f.Meter.Inc("config_decode_error")
 		f.Log.Warn("configuration not usable", "revision", it.Revision, "error", err)
-		f.revision = it.Revision
 		return
 	}
-	f.revision = it.Revision
 	old := f.current.Load()
 	if old != nil && c.Version <= old.Version {
 		f.Meter.Inc("config_version_not_higher")
--- a/internal/fleet/lock/lock.go
+++ b/internal/fleet/lock/lock.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
@@ -241,7 +242,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		lead(termCtx, t)
+		if err := duty.Try(l.Log, l.Meter, "lead", func() { lead(termCtx, t) }); err != nil {
+			l.Log.Warn("planner lock given up", "term", t.Revision, "error", err)
+		}
 	}()
 	tick := time.NewTicker(ttl / renewals)
 	defer tick.Stop()
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
@@ -122,13 +123,15 @@
 	led := make(chan struct{})
 	lockCtx, release := context.WithCancel(duties)
 	defer release()
-	go n.path.Run(duties)
-	go n.follower.Run(duties)
-	go n.announce(duties)
+	go n.keep(duties, "reach the store", n.path.Run)
+	go n.keep(duties, "follow the configuration", n.follower.Run)
+	go n.keep(duties, "announce", n.announce)
 	go func() {
 		defer close(led)
-		n.awaitConfig(lockCtx)
-		n.lock.Run(lockCtx, n.planner.Lead)
+		n.keep(lockCtx, "plan", func(ctx context.Context) {
+			n.awaitConfig(ctx)
+			n.lock.Run(ctx, n.planner.Lead)
+		})
 	}()
 	n.Log.Info("serving", "vm", n.Settings.VMID, "data_centre", n.Settings.DataCentre, "callers", n.Settings.Callers)
 	<-ctx.Done()
@@ -136,6 +139,11 @@
 	return nil
 }
 
+// keep runs a duty, and runs it again after a panic.
+func (n *Node) keep(ctx context.Context, name string, f func(ctx context.Context)) {
+	duty.Keep(ctx, n.Log, n.Meter, name, f)
+}
+
 // configPoll is the time between two looks for the first configuration.
 const configPoll = 50 * time.Millisecond
 
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -79,17 +79,17 @@
 		t.writes++
 		t.recent.rows += len(b.rows)
 		t.recent.writes++
-		t.loops.Go(func() { t.write(b) })
+		t.begin("write", func() { t.write(b) })
 	}
 }
 
 // write makes a write and takes in its outcome.
 func (t *term) write(b *batch) {
 	err := t.commit(b)
-	t.mu.Lock()
-	t.writes--
-	t.committed(b, err)
-	t.mu.Unlock()
+	t.locked(func() {
+		t.writes--
+		t.committed(b, err)
+	})
 	if err == nil {
 		t.poke()
 	}
--- a/internal/fleet/planner/load.go
+++ b/internal/fleet/planner/load.go
@@ -26,26 +26,28 @@
 // followLoad writes a line about the load from time to time, until the term ends.
 func (t *term) followLoad() {
 	for pause.For(t.ctx, loadPause) {
-		t.mu.Lock()
-		l := t.recent
-		t.recent = load{}
-		waiting, running, unheard := 0, 0, 0
-		for _, j := range t.live {
-			for _, u := range j.order {
-				if u.waits() {
-					waiting++
-				}
+		t.locked(t.logLoad)
+	}
+}
+
+func (t *term) logLoad() {
+	l := t.recent
+	t.recent = load{}
+	waiting, placed, unheard := 0, 0, 0
+	for _, j := range t.live {
+		for _, u := range j.order {
+			if u.waits() {
+				waiting++
 			}
 		}
-		for _, w := range t.workers {
-			running += len(w.members)
-			if w.listed && !w.heard {
-				unheard++
-			}
+	}
+	for _, w := range t.workers {
+		placed += len(w.members)
+		if w.listed && !w.heard {
+			unheard++
 		}
-		t.p.Log.Info("planner load", "term", t.revision, "jobs", len(t.live), "known", len(t.jobs), "workers", len(t.workers), "unheard", unheard,
-			"units_waiting", waiting, "tasks_placed", running, "behind", len(t.behind), "owing_workers", len(t.owing),
-			"writes", l.writes, "rows", l.rows, "looks", l.looks, "look_ms", l.looked.Milliseconds(), "longest_look_ms", l.longest.Milliseconds())
-		t.mu.Unlock()
 	}
+	t.p.Log.Info("planner load", "term", t.revision, "jobs", len(t.live), "known", len(t.jobs), "workers", len(t.workers), "unheard", unheard,
+		"units_waiting", waiting, "tasks_placed", placed, "behind", len(t.behind), "owing_workers", len(t.owing),
+		"writes", l.writes, "rows", l.rows, "looks", l.looks, "look_ms", l.looked.Milliseconds(), "longest_look_ms", l.longest.Milliseconds())
 }
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -42,7 +42,7 @@
 	w.heldUntil = max(w.heldUntil, order.Deadline)
 	m.sent, m.starting = true, true
 	client, way := w.client, w.way
-	t.loops.Go(func() { t.sendStart(m, client, order, now.Add(startTime+2*way), orderTimeout+2*way) })
+	t.begin("start", func() { t.sendStart(m, client, order, now.Add(startTime+2*way), orderTimeout+2*way) })
 }
 
 // sendStart repeats a start until it is answered or its time is over.
@@ -188,7 +188,7 @@
 	m.stopSent = time.Now()
 	client, token, timeout := w.client, w.token, orderTimeout+2*w.way
 	task, run := m.task(), m.run
-	t.loops.Go(func() {
+	t.begin("stop", func() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		err := client.Stop(ctx, task, run, token)
@@ -197,10 +197,10 @@
 			t.p.Log.Info("stop not carried out", "job", task.Job, "task", task, "run", run, "worker", m.worker, "error", err)
 			return
 		}
-		t.mu.Lock()
-		if m.voided == 0 {
-			m.voided = boottime.Now()
-		}
-		t.mu.Unlock()
+		t.locked(func() {
+			if m.voided == 0 {
+				m.voided = boottime.Now()
+			}
+		})
 	})
 }
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
@@ -74,7 +75,11 @@
 	}
 	t := newTerm(ctx, cancel, p, l.Revision, valid)
 	p.Log.Info("planner term begins", "term", l.Revision)
-	if err := t.load(); err != nil {
+	var err error
+	if panicked := duty.Try(p.Log, p.Meter, "load", func() { err = t.load() }); panicked != nil {
+		err = panicked
+	}
+	if err != nil {
 		p.Log.Warn("planner term ends", "term", l.Revision, "reason", "the store could not be read", "error", err)
 		return
 	}
@@ -95,9 +100,7 @@
 	if err != nil {
 		return
 	}
-	t.mu.Lock()
-	t.draining = true
-	t.mu.Unlock()
+	t.locked(func() { t.draining = true })
 	for !t.settled() && ctx.Err() == nil && t.ctx.Err() == nil {
 		t.poke()
 		pause.For(ctx, drainPoll)
@@ -161,9 +164,7 @@
 	if err := p.Config.AtLeast(ctx, s.ConfigVersion); err != nil {
 		p.Log.Warn("a job's configuration could not be read", "job", s.Job.ID, "version", s.ConfigVersion, "error", err)
 	}
-	t.mu.Lock()
-	t.takeSpec(s, "peer")
-	t.mu.Unlock()
+	t.locked(func() { t.takeSpec(s, "peer") })
 	t.poke()
 	return nil
 }
@@ -174,9 +175,7 @@
 	if err != nil {
 		return err
 	}
-	t.mu.Lock()
-	t.takeCancel(id, "peer")
-	t.mu.Unlock()
+	t.locked(func() { t.takeCancel(id, "peer") })
 	t.poke()
 	return nil
 }
--- a/internal/fleet/planner/retire.go
+++ b/internal/fleet/planner/retire.go
@@ -52,14 +52,15 @@
 
 // retire removes the records of jobs that ended long ago, a few at a time.
 func (t *term) retire() {
-	t.mu.Lock()
-	old := t.retirable(time.Now())
+	var old []*job
 	txn := store.Txn{Conditions: []store.Condition{{Key: store.LockKey, Revision: t.revision}}}
-	for _, j := range old {
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
-		txn.Removes = append(txn.Removes, store.SpecKey(j.id), store.CancelKey(j.id), store.RunKey(j.id))
-	}
-	t.mu.Unlock()
+	t.locked(func() {
+		old = t.retirable(time.Now())
+		for _, j := range old {
+			txn.Conditions = append(txn.Conditions, store.Condition{Key: store.RunKey(j.id), Revision: j.revision})
+			txn.Removes = append(txn.Removes, store.SpecKey(j.id), store.CancelKey(j.id), store.RunKey(j.id))
+		}
+	})
 	if len(old) == 0 || !t.valid() {
 		return
 	}
--- a/internal/fleet/planner/takeover_test.go
+++ b/internal/fleet/planner/takeover_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
@@ -97,3 +98,28 @@
 	const maxHold = 6 * time.Second
 	is.True(planner.RebornWait(10*time.Minute, maxHold) <= planner.RebornWait(0, maxHold))
 }
+
+// TestAPanicEndsTheTermAlone plays a decision that panics: the process goes on, and the
+// next term does the work.
+func TestAPanicEndsTheTermAlone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, 1, 2)
+		defer s.close()
+		panics := 2
+		s.decide = func(in placement.Input) placement.Decision {
+			if panics > 0 {
+				panics--
+				panic("an odd job")
+			}
+			return placement.Plan(in)
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit(jobID(1), "solve", time.Second, step(2, 4, true))
+		time.Sleep(20 * time.Second)
+		is.Equal(panics, 0)
+		is.Equal(s.world.State(jobID(1)), model.Completed)
+		is.Equal(s.world.Violations(), []string(nil))
+	})
+}
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -223,13 +224,37 @@
 	return t.revision << tokenShift
 }
 
+// locked runs f with the term's lock, which a panic in f gives back.
+func (t *term) locked(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f()
+}
+
+// begin runs a duty beside the others until it returns. A panic ends the term: the next
+// one reads anew what stands.
+func (t *term) begin(name string, f func()) {
+	t.loops.Go(func() {
+		if err := duty.Try(t.p.Log, t.p.Meter, name, f); err != nil {
+			t.locked(func() { t.fail(err.Error()) })
+		}
+	})
+}
+
 // run plans until the term ends.
 func (t *term) run() {
 	defer t.loops.Wait()
 	defer t.cancel()
-	t.loops.Go(t.followWorkers)
-	t.loops.Go(t.followJobs)
-	t.loops.Go(t.followLoad)
+	t.begin("follow workers", t.followWorkers)
+	t.begin("follow jobs", t.followJobs)
+	t.begin("follow load", t.followLoad)
+	if err := duty.Try(t.p.Log, t.p.Meter, "plan", t.lookOn); err != nil {
+		t.locked(func() { t.fail(err.Error()) })
+	}
+}
+
+// lookOn looks at what waits until the term ends.
+func (t *term) lookOn() {
 	timer := time.NewTicker(tick)
 	defer timer.Stop()
 	for t.ctx.Err() == nil {
@@ -244,9 +269,7 @@
 		t.retire()
 		took := time.Since(began)
 		t.p.Meter.Time("look_time", took)
-		t.mu.Lock()
-		t.recent.look(took)
-		t.mu.Unlock()
+		t.locked(func() { t.recent.look(took) })
 		// What takes in answers needs the processor and the term's lock too.
 		pause.For(t.ctx, max(took, lookPause))
 	}
@@ -352,9 +375,8 @@
 // followJobs takes new jobs and cancellations from the store.
 func (t *term) followJobs() {
 	for t.ctx.Err() == nil {
-		t.mu.Lock()
-		at := t.jobsAt
-		t.mu.Unlock()
+		var at int64
+		t.locked(func() { at = t.jobsAt })
 		ctx, cancel := context.WithTimeout(t.ctx, followWait+followSlack)
 		events, next, err := t.p.Store.Watch(ctx, store.JobPrefix, at, followWait)
 		cancel()
@@ -367,10 +389,10 @@
 			pause.For(t.ctx, retryPause)
 			continue
 		}
-		t.mu.Lock()
-		t.jobsAt = next
-		t.takeJobItems(events, "watch")
-		t.mu.Unlock()
+		t.locked(func() {
+			t.jobsAt = next
+			t.takeJobItems(events, "watch")
+		})
 		if len(events) > 0 {
 			t.poke()
 		}
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -42,9 +42,7 @@
 			}
 			all = append(all, w)
 		}
-		t.mu.Lock()
-		t.takeWorkers(all)
-		t.mu.Unlock()
+		t.locked(func() { t.takeWorkers(all) })
 		t.poke()
 		pause.For(t.ctx, listPause)
 	}
@@ -70,7 +68,7 @@
 		if w.client == nil {
 			w.client = t.p.Dial(w.id, info.Address)
 			t.p.Log.Debug("worker known", "worker", w.id, "rack", info.Rack, "address", info.Address)
-			t.loops.Go(func() { t.holdLoop(w) })
+			t.begin("hold", func() { t.holdLoop(w) })
 		}
 	}
 	for id, w := range t.workers {
@@ -182,17 +180,21 @@
 	if !t.valid() {
 		return retryPause, true
 	}
-	t.mu.Lock()
-	if t.workers[w.id] != w {
-		t.mu.Unlock()
+	sent := boottime.Now()
+	var order HoldOrder
+	var timeout time.Duration
+	var client WorkerClient
+	known := false
+	t.locked(func() {
+		if known = t.workers[w.id] == w; known {
+			order, client = t.holdOrder(w, sent), w.client
+			timeout = order.Wait + w.holdSlack()
+		}
+	})
+	if !known {
 		w.client.Close()
 		return 0, false
 	}
-	sent := boottime.Now()
-	order := t.holdOrder(w, sent)
-	timeout := order.Wait + w.holdSlack()
-	client := w.client
-	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	rep, err := client.Hold(ctx, order)
 	cancel()
@@ -360,7 +362,7 @@
 	t.p.Meter.Inc("run_unknown")
 	t.p.Log.Info("run of unknown origin stopped", "job", k.task.Job, "task", k.task, "run", k.run, "worker", w.id)
 	token, client, timeout := w.token, w.client, orderTimeout+2*w.way
-	t.loops.Go(func() {
+	t.begin("stop", func() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		if err := client.Stop(ctx, k.task, k.run, token); err != nil {
