--- a/internal/fleet/planner/scene_test.go
+++ b/internal/fleet/planner/scene_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -36,6 +37,8 @@
 	off     func(p *planner.Planner)
 	// statusKeep is that of the bounds of VMs that are started from now on.
 	statusKeep time.Duration
+	// maxHold is that of the bounds of VMs; 0 for that of sceneBounds.
+	maxHold time.Duration
 	// ended holds the jobs that await has seen to end.
 	ended map[string]bool
 	// decide replaces the planner's placement when it is set.
@@ -95,7 +98,7 @@
 	p := &planner.Planner{
 		Store: view, Config: s.config, WorkerPrefix: world.WorkerPrefix, DecodeWorker: world.DecodeWorker,
 		Dial: s.world.Dial(vm), Log: log, Meter: m, Decide: s.decide,
-		Bounds: model.Bounds{MaxHold: sceneBounds.MaxHold, GangTimeout: sceneBounds.GangTimeout, StatusKeep: s.statusKeep},
+		Bounds: model.Bounds{MaxHold: cmp.Or(s.maxHold, sceneBounds.MaxHold), GangTimeout: sceneBounds.GangTimeout, StatusKeep: s.statusKeep},
 	}
 	if s.off != nil {
 		s.off(p)
--- a/internal/fleet/planner/workers.go
+++ b/internal/fleet/planner/workers.go
@@ -100,6 +100,9 @@
 	waitWorkers = 500
 	// idleWait is the same for a worker without work.
 	idleWait = 2000 * time.Millisecond
+	// waitShare is the share of a lease that a hold may wait: a lost answer must not
+	// cost the lease.
+	waitShare = 0.4
 	// holdSlack is added to that for the answer, besides the way there and back.
 	holdSlack = 600 * time.Millisecond
 	// firstSlack is that of a worker that was not heard of yet.
@@ -237,12 +240,14 @@
 		// leases of a silent worker are over.
 		return o
 	}
-	o.Deadline = w.now(now) + min(holdLease, t.p.Bounds.MaxHold)
+	lease := min(holdLease, t.p.Bounds.MaxHold)
+	o.Deadline = w.now(now) + lease
 	w.heldUntil = max(w.heldUntil, o.Deadline)
 	o.Wait = idleWait
 	if len(w.members) > 0 || len(w.strangers) > 0 {
 		o.Wait = min(max(holdWait, holdWait*time.Duration(len(t.listed))/waitWorkers), idleWait)
 	}
+	o.Wait = min(o.Wait, time.Duration(float64(lease)*waitShare)).Truncate(time.Millisecond)
 	return o
 }
 
