--- a/internal/fleet/planner/load_test.go
+++ b/internal/fleet/planner/load_test.go
@@ -114,6 +114,10 @@
 	inTime, asked map[string]int
 	// credit is earned of owed: worth in time, less when up to three times late.
 	credit, owed float64
+	// starts counts the runs, stopped those that were stopped, and wasted the
+	// core-seconds of work that was thrown away.
+	starts, stopped int
+	wasted          float64
 }
 
 func newServed() *served {
@@ -128,6 +132,9 @@
 	}
 	s.credit += o.credit
 	s.owed += o.owed
+	s.starts += o.starts
+	s.stopped += o.stopped
+	s.wasted += o.wasted
 }
 
 func (s *served) add(o order, took time.Duration) {
@@ -182,6 +189,7 @@
 		if broken := s.world.Violations(); len(broken) > 0 {
 			t.Errorf("broken: %v", broken)
 		}
+		out.starts, out.stopped, out.wasted = s.world.Starts, s.world.Stopped, s.world.Wasted
 	})
 	return out
 }
@@ -278,8 +286,8 @@
 			all.merge(s)
 		}
 		shares[p] = all.share("urgent")
-		t.Logf("%-9s: credit %.3f; in time: urgent %.3f, solve %.3f, render %.3f of %v", names[p], all.credit/all.owed,
-			shares[p], all.share("solve"), all.share("render"), all.asked)
+		t.Logf("%-9s: credit %.3f; in time: urgent %.3f, solve %.3f, render %.3f of %v; %d of %d runs stopped, %.0f core-seconds thrown away",
+			names[p], all.credit/all.owed, shares[p], all.share("solve"), all.share("render"), all.asked, all.stopped, all.starts, all.wasted)
 	}
 	if shares[0] < urgentShare {
 		t.Errorf("%.3f of the urgent callers are served in time, %.2f are to be", shares[0], urgentShare)
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -139,6 +139,7 @@
 	if how == planner.EndStopped {
 		saved = r.checkpoint(time.Now())
 	}
+	x.w.waste(r, how)
 	x.ends = append(x.ends, planner.End{Number: x.number, Task: r.task, Run: r.run, How: how, Checkpoint: saved})
 	if !r.step.Gang || how == planner.EndDone {
 		return
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -63,8 +63,10 @@
 	history    map[planner.TaskID]*taskHistory
 	alone      int
 	violations []string
-	// Starts counts the runs that began.
-	Starts int
+	// Starts counts the runs that began, Stopped those that were stopped before their
+	// end, and Wasted the core-seconds of work that was thrown away.
+	Starts, Stopped int
+	Wasted          float64
 }
 
 // New returns a world with workers of 8 accelerators.
@@ -354,6 +356,17 @@
 	return t
 }
 
+// waste counts what the end of a run throws away.
+func (w *World) waste(r *run, how planner.EndKind) {
+	if how == planner.EndDone || how == planner.EndFailed {
+		return
+	}
+	w.Stopped++
+	if !r.step.Checkpoints {
+		w.Wasted += time.Since(r.began).Seconds() * r.step.Shape.Cores()
+	}
+}
+
 // Unnoted returns the number of ends that workers list and nobody took note of.
 func (w *World) Unnoted() int {
 	w.mu.Lock()
