End the planner lock of an earlier process of the same VM

Change: the lock's value names its lease. A process that finds its own VM and address there with another incarnation ends that lease; a VM runs one process at a time. What the dead process sent meets the next term sooner: its token is lower, and leases are waited for from the term's start, as before; the property test plays it. Tests: TestAnEarlierLifeIsNotWaitedFor (fails before); TestRunProtocol with incarnations.

--- a/internal/fleet/lock/lock.go
+++ b/internal/fleet/lock/lock.go
@@ -45,6 +45,8 @@
 	IP   string `json:"ip"`
 	// Incarnation differs for every start of a daemon.
 	Incarnation string `json:"incarnation"`
+	// Lease is that of the lock's key.
+	Lease int64 `json:"lease,omitempty"`
 	// Revision is the revision in which the lock was taken; 0 for nobody.
 	Revision int64 `json:"-"`
 }
@@ -145,6 +147,9 @@
 		l.Log.Warn("the lock's value can't be read", "revision", it.Revision, "error", err)
 	}
 	h.Revision = it.Created
+	if l.isEarlierLife(h) && l.endEarlierLife(ctx, h) {
+		return
+	}
 	for ctx.Err() == nil {
 		l.note(h)
 		events, next, err := l.watch(ctx, at)
@@ -160,6 +165,27 @@
 	}
 }
 
+// isEarlierLife reports whether a holder was a process of this VM that has ended: a VM
+// runs one process at a time.
+func (l *Lock) isEarlierLife(h Holder) bool {
+	return h.VMID == l.Self.VMID && h.IP == l.Self.IP && h.Incarnation != l.Self.Incarnation && h.Lease != 0
+}
+
+// endEarlierLife ends the lease of an earlier process of this VM, so that nobody has to
+// wait until it runs out. It reports whether the lock is free then.
+func (l *Lock) endEarlierLife(ctx context.Context, h Holder) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := l.Store.End(ctx, h.Lease)
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		l.Log.Warn("the lock of an earlier life of this VM runs out by itself", "term", h.Revision, "error", err)
+		return false
+	}
+	l.Meter.Inc("lock_earlier_life")
+	l.Log.Info("lock of an earlier life of this VM ended", "term", h.Revision, "incarnation", h.Incarnation)
+	return true
+}
+
 func (l *Lock) watch(ctx context.Context, at int64) ([]store.Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
@@ -210,7 +236,9 @@
 func (l *Lock) put(ctx context.Context, lease int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := json.Marshal(l.Self)
+	h := l.Self
+	h.Lease = lease
+	value, err := json.Marshal(h)
 	if err != nil {
 		return 0, fault.Wrap(fault.Internal, err, "encode the lock")
 	}
--- a/internal/fleet/lock/lock_test.go
+++ b/internal/fleet/lock/lock_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
@@ -60,7 +61,7 @@
 	c := &candidate{link: link, done: make(chan struct{})}
 	c.store = &counted{Store: &world.View{Store: w.Store, Link: link}}
 	c.lock = &lock.Lock{
-		Store: c.store, Self: lock.Holder{VMID: vm, IP: vm},
+		Store: c.store, Self: lock.Holder{VMID: vm, IP: vm, Incarnation: uuid.NewString()},
 		Log: slog.New(slog.DiscardHandler), Meter: &meter.Meter{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -119,6 +120,27 @@
 	})
 }
 
+// TestAnEarlierLifeIsNotWaitedFor shows that a planner's process that is started anew
+// does not wait until the lease of the one before runs out, and that other VMs do.
+func TestAnEarlierLifeIsNotWaitedFor(t *testing.T) {
+	for vm, waits := range map[string]bool{"a": false, "b": true} {
+		t.Run(vm, func(t *testing.T) {
+			play(t, func(is *is.I, w *world.World, a *candidate) {
+				a.link.Cut(true)
+				a.stop()
+				time.Sleep(300 * time.Millisecond)
+				a.link.Cut(false)
+				again := newCandidate(w, vm)
+				defer again.end()
+				time.Sleep(500 * time.Millisecond)
+				is.Equal(again.leads(), !waits)
+				time.Sleep(lock.TTL + time.Second)
+				is.True(again.leads())
+			})
+		})
+	}
+}
+
 func TestPlannedStopHandsTheLockOver(t *testing.T) {
 	play(t, func(is *is.I, w *world.World, a *candidate) {
 		b := newCandidate(w, "b")
--- a/internal/fleet/planner/scene_test.go
+++ b/internal/fleet/planner/scene_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
@@ -109,7 +111,7 @@
 	if s.off != nil {
 		s.off(p)
 	}
-	l := &lock.Lock{Store: view, Self: lock.Holder{VMID: vm, IP: vm}, Log: log, Meter: m}
+	l := &lock.Lock{Store: view, Self: lock.Holder{VMID: vm, IP: vm, Incarnation: uuid.NewString()}, Log: log, Meter: m}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop[vm], s.done[vm], s.plan[vm] = cancel, make(chan struct{}), p
 	done := s.done[vm]
