Tell a caller that its submission is unclear before its deadline

Four quote checks got no answer at all, and their callers lost a try. An unclear submission was repeated as long as there was time, though another VM might know sooner. Change: attempts end 150 ms before the deadline; 0.8 s after the first attempt without an answer the caller is told 502. A panic while the planner's figures are asked for leaves nobody waiting. Test: TestASilentStoreIsNotWaitedForToTheEnd (both cases fail before).

--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -20,6 +20,10 @@
 	// unclearTime is how long a change without an answer is repeated while no way
 	// to the store works. Another VM may reach it, so the caller is told early.
 	unclearTime = 400 * time.Millisecond
+	// lostTime is how long a change is repeated after its first attempt without an
+	// answer: another VM may find out sooner what became of it, and a caller whose
+	// deadline passes is told nothing.
+	lostTime = 800 * time.Millisecond
 	// tellTimeout bounds the telling of the planner; it reads the store as well.
 	tellTimeout = 500 * time.Millisecond
 	// askTimeout bounds a question to the planner.
@@ -110,9 +114,13 @@
 // write makes a change that happens once: its only condition is that a key does
 // not exist. It returns the item when the key exists already.
 func (d *Desk) write(ctx context.Context, txn store.Txn) (*store.Item, error) {
+	ctx, cancel := reserved(ctx)
+	defer cancel()
 	var u unclear
 	for {
-		_, current, err := d.Store.Apply(ctx, txn)
+		attempt, end := u.bound(ctx)
+		_, current, err := d.Store.Apply(attempt, txn)
+		end()
 		if err == nil {
 			return nil, nil
 		}
@@ -127,7 +135,7 @@
 			return nil, refusal
 		}
 		d.Meter.Inc("write_retry_" + string(fault.KindOf(err)))
-		if pauseFor(ctx, writeRetry) {
+		if !u.isOver() && pauseFor(ctx, writeRetry) {
 			continue
 		}
 		if u.lost {
@@ -139,8 +147,10 @@
 
 // unclear follows the attempts of one change.
 type unclear struct {
-	// lost says that an attempt had no answer: it may yet be carried out.
-	lost bool
+	// lost says that an attempt had no answer: it may yet be carried out. lostAt is
+	// when that was first so.
+	lost   bool
+	lostAt time.Time
 	// away is since when no way to the store works; zero while one may.
 	away time.Time
 }
@@ -150,6 +160,9 @@
 func (u *unclear) note(err error) error {
 	if !fault.Is(err, fault.StoreUnavailable) {
 		u.lost, u.away = u.lost || fault.Is(err, fault.AnswerLost), time.Time{}
+		if u.lost && u.lostAt.IsZero() {
+			u.lostAt = time.Now()
+		}
 		return nil
 	}
 	if u.away.IsZero() {
@@ -164,6 +177,20 @@
 	return nil
 }
 
+// bound returns a context for the next attempt.
+func (u *unclear) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if u.lostAt.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, u.lostAt.Add(lostTime))
+}
+
+// isOver reports whether the caller is to be told that it is unclear what became of
+// the change.
+func (u *unclear) isOver() bool {
+	return !u.lostAt.IsZero() && time.Since(u.lostAt) >= lostTime
+}
+
 // held returns the item that a write met; nil when it is that of an earlier
 // attempt of the same write.
 func (d *Desk) held(it *store.Item, txn store.Txn, unanswered bool) *store.Item {
@@ -175,12 +202,22 @@
 
 // pauseFor waits, and reports whether time is left for another attempt.
 func pauseFor(ctx context.Context, delay time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerReserve+delay {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < delay {
 		return false
 	}
 	return pause.For(ctx, delay)
 }
 
+// reserved returns a context that ends early enough for an answer before the deadline of
+// ctx.
+func reserved(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline.Add(-answerReserve))
+}
+
 // tell tells the planner of a change that the store holds. The planner reads
 // the store as well, so a failure only costs time.
 func (d *Desk) tell(ctx context.Context, call func(ctx context.Context) error) {
@@ -195,6 +232,8 @@
 
 // State returns the state of a job: from the planner, else from the store.
 func (d *Desk) State(ctx context.Context, t Target) (model.JobState, error) {
+	ctx, end := reserved(ctx)
+	defer end()
 	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	s, known, err := d.Planner.State(askCtx, t.JobID)
 	cancel()
@@ -281,6 +320,8 @@
 
 // Pending returns the number of jobs of a queue that wait.
 func (d *Desk) Pending(ctx context.Context, t Target) (int64, error) {
+	ctx, end := reserved(ctx)
+	defer end()
 	for {
 		digest, err := d.freshDigest(ctx)
 		if err == nil {
@@ -312,16 +353,20 @@
 	d.asking = ch
 	d.mu.Unlock()
 	began := time.Now()
+	// Also after a panic: others wait for the answer.
+	defer func() {
+		d.mu.Lock()
+		d.asking = nil
+		d.mu.Unlock()
+		close(ch)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	digest, err := d.Planner.Digest(ctx)
-	cancel()
-	d.mu.Lock()
-	if err == nil {
+	defer cancel()
+	if digest, err := d.Planner.Digest(ctx); err == nil {
+		d.mu.Lock()
 		d.digest, d.digestAt = digest, began
+		d.mu.Unlock()
 	}
-	d.asking = nil
-	d.mu.Unlock()
-	close(ch)
 	return d.usableDigest()
 }
 
--- a/internal/fleet/entry/jobs_test.go
+++ b/internal/fleet/entry/jobs_test.go
@@ -32,8 +32,12 @@
 
 func (s *scripted) Range(context.Context, string) ([]store.Item, int64, error) { return nil, 1, nil }
 
-func (s *scripted) Apply(context.Context, store.Txn) (int64, []store.Item, error) {
-	time.Sleep(s.callTime)
+func (s *scripted) Apply(ctx context.Context, _ store.Txn) (int64, []store.Item, error) {
+	select {
+	case <-time.After(s.callTime):
+	case <-ctx.Done():
+		return 0, nil, fault.Wrap(fault.AnswerLost, ctx.Err(), "scripted")
+	}
 	kind := s.answers[min(s.calls, len(s.answers)-1)]
 	s.calls++
 	if kind == "" {
@@ -104,3 +108,35 @@
 		})
 	}
 }
+
+// TestASilentStoreIsNotWaitedForToTheEnd shows that a caller whose submission has no answer
+// is told so well before its deadline, also when the store answers nothing at all: it may
+// ask again, at any VM.
+func TestASilentStoreIsNotWaitedForToTheEnd(t *testing.T) {
+	const deadline = 3 * time.Second
+	for name, x := range map[string]struct {
+		callTime, most time.Duration
+	}{
+		"each call times out":      {1200 * time.Millisecond, 2200 * time.Millisecond},
+		"nothing is ever answered": {time.Minute, deadline - 100*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cfg := &fixed{&model.Config{Version: 1, Queues: []model.Queue{{Name: "q", Prefix: "/q/", Public: true}}}}
+				d := &entry.Desk{
+					Config: cfg, Planner: cfg, Store: &scripted{answers: []fault.Kind{fault.AnswerLost}, callTime: x.callTime},
+					Log: slog.New(slog.DiscardHandler), Meter: &meter.Meter{},
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				target, err := d.Find(ctx, entry.Call{Path: "/q/00000000000000a1"})
+				is.NoErr(err)
+				began := time.Now()
+				err = d.Submit(ctx, target, model.Job{ID: target.JobID, Steps: []model.Step{{Tasks: 1}}})
+				is.Equal(fault.KindOf(err), fault.AnswerLost)
+				is.True(time.Since(began) <= x.most)
+			})
+		})
+	}
+}
