--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -37,16 +37,16 @@
 // entries returns the number of entries of the write.
 func (b *batch) entries() int { return len(b.txn.Conditions) + len(b.txn.Puts) }
 
-// unkeptEnd is an end that a worker listed. It is kept once the store holds a
+// pendingEnd is an end that a worker listed. It is kept once the store holds a
 // change of its job's record.
-type unkeptEnd struct {
+type pendingEnd struct {
 	number int64
 	// job is nil for an end that changed nothing.
 	job    *job
 	change int64
 }
 
-func (e *unkeptEnd) isKept() bool { return e.job == nil || e.job.keptChange >= e.change }
+func (e *pendingEnd) isKept() bool { return e.job == nil || e.job.keptChange >= e.change }
 
 // batchRow is one job of a batch.
 type batchRow struct {
@@ -182,28 +182,28 @@
 	return b
 }
 
-// owe notes an end that was taken in. What its job's record is behind with may be
+// addPending notes an end that was taken in. What its job's record is behind with may be
 // that end.
-func (t *term) owe(w *worker, e End) {
-	x := unkeptEnd{number: e.Number}
+func (t *term) addPending(w *worker, e End) {
+	x := pendingEnd{number: e.Number}
 	if j := t.jobs[e.Task.Job]; j != nil && j.change > j.keptChange {
 		x.job, x.change = j, j.change
 	}
-	w.unkept = append(w.unkept, x)
-	t.owing[w] = true
+	w.pending = append(w.pending, x)
+	t.unacked[w] = true
 }
 
 // keepEnds lets a worker forget the ends that are kept, up to the first that is not.
 func (t *term) keepEnds(w *worker) {
 	n := 0
-	for n < len(w.unkept) && w.unkept[n].isKept() {
-		w.kept = w.unkept[n].number
+	for n < len(w.pending) && w.pending[n].isKept() {
+		w.kept = w.pending[n].number
 		n++
 	}
-	w.unkept = w.unkept[n:]
-	if len(w.unkept) == 0 {
-		w.unkept = nil
-		delete(t.owing, w)
+	w.pending = w.pending[n:]
+	if len(w.pending) == 0 {
+		w.pending = nil
+		delete(t.unacked, w)
 	}
 	if n == 0 {
 		return
@@ -307,7 +307,7 @@
 			row.job.revision, row.job.keptChange = b.revision, row.change
 			t.keptRow(row)
 		}
-		for w := range t.owing {
+		for w := range t.unacked {
 			t.keepEnds(w)
 		}
 		return
--- a/internal/fleet/planner/load.go
+++ b/internal/fleet/planner/load.go
@@ -48,6 +48,6 @@
 		}
 	}
 	t.p.Log.Info("planner load", "term", t.revision, "jobs", len(t.live), "known", len(t.jobs), "workers", len(t.workers), "unheard", unheard,
-		"units_waiting", waiting, "tasks_placed", placed, "behind", len(t.behind), "owing_workers", len(t.owing),
+		"units_waiting", waiting, "tasks_placed", placed, "behind", len(t.behind), "unacked_workers", len(t.unacked),
 		"writes", l.writes, "rows", l.rows, "looks", l.looks, "look_ms", l.looked.Milliseconds(), "longest_look_ms", l.longest.Milliseconds())
 }
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -37,12 +37,12 @@
 	now := boottime.Now()
 	order := StartOrder{
 		Task: m.task(), Run: m.run, Specification: m.unit.job.spec.Job.Specification,
-		Deadline: w.now(now) + startWindow + 2*w.way, Token: m.token, Checkpoint: m.unit.saved,
+		Deadline: w.now(now) + startWindow + 2*w.roundTrip, Token: m.token, Checkpoint: m.unit.saved,
 	}
 	w.heldUntil = max(w.heldUntil, order.Deadline)
 	m.sent, m.starting = true, true
-	client, way := w.client, w.way
-	t.begin("start", func() { t.sendStart(m, client, order, now.Add(startTime+2*way), orderTimeout+2*way) })
+	client, roundTrip := w.client, w.roundTrip
+	t.begin("start", func() { t.sendStart(m, client, order, now.Add(startTime+2*roundTrip), orderTimeout+2*roundTrip) })
 }
 
 // sendStart repeats a start until it is answered or its time is over.
@@ -186,7 +186,7 @@
 		return
 	}
 	m.stopSent = time.Now()
-	client, token, timeout := w.client, w.token, orderTimeout+2*w.way
+	client, token, timeout := w.client, w.token, orderTimeout+2*w.roundTrip
 	task, run := m.task(), m.run
 	t.begin("stop", func() {
 		err := t.sendStop(client, task, run, token, timeout)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"sort"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
@@ -158,15 +159,15 @@
 	clock     time.Duration
 	recv      boottime.Time
 	heldUntil time.Duration
-	// way is the least time that an answer took which the worker did not keep back.
-	way time.Duration
+	// roundTrip is the least time that an answer took which the worker did not keep back.
+	roundTrip time.Duration
 	// bornSeen is when this term saw the present life begin; zero for a life
 	// that was there before.
 	bornSeen boottime.Time
 	// seen is the last end that was taken in, and kept the last that is in the
-	// store as well; unkept are those between them.
+	// store as well; pending are those between them.
 	seen, kept int64
-	unkept     []unkeptEnd
+	pending    []pendingEnd
 	members    map[runKey]*member
 	// inOrder are the members in a fixed order; nil when they have changed since.
 	inOrder []*member
@@ -214,35 +215,28 @@
 // now returns the worker's clock as it is at least.
 func (w *worker) now(at boottime.Time) time.Duration { return w.clock + at.Sub(w.recv) }
 
-// clockRate is the slowest that a worker's clock runs.
-const clockRate = 0.98
-
-// leaseSlack is added to the time at which a lease must be over.
-const leaseSlack = 400 * time.Millisecond
-
-// leaseTime is the longest time for which a lease that was given just now lasts.
-func leaseTime(maxHold time.Duration) time.Duration {
-	return time.Duration(float64(min(maxHold, holdLease))/clockRate) + leaseSlack
-}
-
-// leaseOver returns the time at which nothing that was placed on the worker can
-// run any more, if it is not heard of again. Earlier terms gave leases of
-// holdLease at most too.
-func (w *worker) leaseOver(began boottime.Time, maxHold time.Duration) boottime.Time {
-	// What was sent before the life was seen may have begun in it.
-	over := max(began, w.bornSeen).Add(leaseTime(maxHold))
-	if w.recv != 0 && w.heldUntil > w.clock {
-		over = max(over, w.recv.Add(time.Duration(float64(w.heldUntil-w.clock)/clockRate)+leaseSlack))
+// sorted returns the members of a worker in a fixed order. The slice is not changed
+// when members come and go.
+func (w *worker) sorted() []*member {
+	if w.inOrder != nil || len(w.members) == 0 {
+		return w.inOrder
 	}
-	return over
-}
-
-// givenUpAt returns the time at which what stands on a silent worker is given up.
-// unheard says that the term has not heard of a large share of the workers.
-func (w *worker) givenUpAt(began boottime.Time, maxHold time.Duration, unheard bool) boottime.Time {
-	over := w.leaseOver(began, maxHold)
-	if unheard && !w.heard {
-		return over.Add(leaseTime(maxHold))
+	all := make([]*member, 0, len(w.members))
+	for _, m := range w.members {
+		all = append(all, m)
 	}
-	return over
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i].task(), all[j].task()
+		switch {
+		case a.Job != b.Job:
+			return a.Job < b.Job
+		case a.Occurrence != b.Occurrence:
+			return a.Occurrence < b.Occurrence
+		case a.Step != b.Step:
+			return a.Step < b.Step
+		}
+		return a.Index < b.Index
+	})
+	w.inOrder = all
+	return all
 }
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -42,7 +41,7 @@
 	loops sync.WaitGroup
 	// first and again bound the holds of workers that were not heard of yet, and of
 	// those that did not answer the last.
-	first, again turnstile
+	first, again semaphore
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -61,8 +60,8 @@
 	draining bool
 	// writes is the number of writes that are under way.
 	writes int
-	// owing are the workers that have listed ends which are not kept yet.
-	owing map[*worker]bool
+	// unacked are the workers that have listed ends which are not kept yet.
+	unacked map[*worker]bool
 	// explainedAt is when the units that wait long were last explained.
 	explainedAt time.Time
 	// retiredAt is when records of ended jobs were last removed.
@@ -79,7 +78,7 @@
 	return &term{
 		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, began: boottime.Now(),
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
-		owing: make(map[*worker]bool), first: make(turnstile, unheardCalls), again: make(turnstile, unheardCalls),
+		unacked: make(map[*worker]bool), first: make(semaphore, unheardCalls), again: make(semaphore, unheardCalls),
 	}
 }
 
@@ -296,73 +295,6 @@
 	t.flush()
 }
 
-// unheardShare is the share of the workers from which this VM, and not they, is
-// taken to be what is slow.
-const unheardShare = 0.25
-
-// heardShare returns the share of the listed workers that this term has heard of;
-// 0 while none is listed.
-func (t *term) heardShare() float64 {
-	listed, heard := 0, 0
-	for _, w := range t.workers {
-		if w.listed {
-			listed++
-		}
-		if w.listed && w.heard {
-			heard++
-		}
-	}
-	return float64(heard) / float64(max(listed, 1))
-}
-
-// expire frees what stood on workers whose leases must be over. Such a worker may
-// still hold ends to tell: it is asked once more after that. One that this term has
-// not heard of yet gets as long again while that holds for a large share of them.
-func (t *term) expire() {
-	now := boottime.Now()
-	unheard := t.heardShare() < 1-unheardShare
-	for _, w := range t.workers {
-		silent := w.client == nil || w.failing
-		if len(w.members) == 0 || !silent && w.heard {
-			continue
-		}
-		over := w.givenUpAt(t.began, t.p.Bounds.MaxHold, unheard && w.client != nil)
-		asked := w.client == nil || w.unansweredSince >= w.leaseOver(t.began, t.p.Bounds.MaxHold)
-		if (now < over || !asked) && !t.p.off.leaseWait {
-			continue
-		}
-		for _, m := range w.sorted() {
-			t.lost(w, m, "lease over")
-		}
-	}
-}
-
-// sorted returns the members of a worker in a fixed order. The slice is not changed
-// when members come and go.
-func (w *worker) sorted() []*member {
-	if w.inOrder != nil || len(w.members) == 0 {
-		return w.inOrder
-	}
-	all := make([]*member, 0, len(w.members))
-	for _, m := range w.members {
-		all = append(all, m)
-	}
-	sort.Slice(all, func(i, j int) bool {
-		a, b := all[i].task(), all[j].task()
-		switch {
-		case a.Job != b.Job:
-			return a.Job < b.Job
-		case a.Occurrence != b.Occurrence:
-			return a.Occurrence < b.Occurrence
-		case a.Step != b.Step:
-			return a.Step < b.Step
-		}
-		return a.Index < b.Index
-	})
-	w.inOrder = all
-	return all
-}
-
 const (
 	// followWait bounds one watch of the jobs; a silent one is noticed then.
 	followWait = 3 * time.Second
