--- a/internal/fleet/path/path_test.go
+++ b/internal/fleet/path/path_test.go
@@ -187,3 +187,27 @@
 		is.NoErr(s.apply("k3"))
 	})
 }
+
+// TestACutVMReadsSoon shows that a VM that has just been cut off from the store reads a
+// key through a peer before its own call has timed out, and asks no peer while the store
+// answers.
+func TestACutVMReadsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene()
+		defer s.stop()
+		s.world.Store.Put("k", []byte("v"))
+		h := path.Hedged{Path: s.path}
+		_, found, err := h.Get(t.Context(), "k")
+		is.NoErr(err)
+		is.True(found)
+		is.Equal(s.relays.asked, 0)
+		s.world.Link("a", "store").Cut(true)
+		began := time.Now()
+		it, found, err := h.Get(t.Context(), "k")
+		is.NoErr(err)
+		is.True(found)
+		is.Equal(string(it.Value), "v")
+		is.True(time.Since(began) < 300*time.Millisecond)
+	})
+}
