Leave the removal of old records out of the time of a look, and end a term by a panic in one place

The pause after a look is as long as the look, so that answers get the processor; the time counted the removal of ended jobs' records as well, a call of the store of up to 1.2 s each 5 s, after which planning would have stood still for as long again.

--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -230,14 +230,16 @@
 	f()
 }
 
-// begin runs a duty beside the others until it returns. A panic ends the term: the next
-// one reads anew what stands.
+// begin runs a duty beside the others until it returns.
 func (t *term) begin(name string, f func()) {
-	t.loops.Go(func() {
-		if err := duty.Try(t.p.Log, t.p.Meter, name, f); err != nil {
-			t.locked(func() { t.fail(err.Error()) })
-		}
-	})
+	t.loops.Go(func() { t.try(name, f) })
+}
+
+// try runs a duty. A panic ends the term: the next one reads anew what stands.
+func (t *term) try(name string, f func()) {
+	if err := duty.Try(t.p.Log, t.p.Meter, name, f); err != nil {
+		t.locked(func() { t.fail(err.Error()) })
+	}
 }
 
 // run plans until the term ends.
@@ -247,9 +249,7 @@
 	t.begin("follow workers", t.followWorkers)
 	t.begin("follow jobs", t.followJobs)
 	t.begin("follow load", t.followLoad)
-	if err := duty.Try(t.p.Log, t.p.Meter, "plan", t.lookOn); err != nil {
-		t.locked(func() { t.fail(err.Error()) })
-	}
+	t.try("plan", t.lookOn)
 }
 
 // lookOn looks at what waits until the term ends.
@@ -265,8 +265,8 @@
 		}
 		began := time.Now()
 		t.look()
-		t.retire()
 		took := time.Since(began)
+		t.retire()
 		t.p.Meter.Time("look_time", took)
 		t.locked(func() { t.recent.look(took) })
 		// What takes in answers needs the processor and the term's lock too.
