Remove a loop without effect, and derive whether a write is unclear

Behaviour stays as it is. victims marked the places of all workers as known for each group, though only those of the group's suited workers are read, which it sets anew (TestPlanEqualsTheReference). unclear.lost is told by lostAt.

--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -65,9 +65,6 @@
 func (p *plan) victims(u *Unit, workers []int) *clearing {
 	c := &clearing{chosen: make(map[int]bool)}
 	var suited []int
-	for i := range p.seats {
-		p.seats[i].known = true
-	}
 	for _, w := range workers {
 		if p.suits(u, w) {
 			suited = append(suited, w)
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -127,7 +127,7 @@
 		if fault.Is(err, fault.Conflict) {
 			for i := range current {
 				if current[i].Key == txn.Conditions[0].Key {
-					return d.held(&current[i], txn, u.lost), nil
+					return d.held(&current[i], txn, u.lost()), nil
 				}
 			}
 			err = fault.New(fault.StoreUnavailable, "the store named no item")
@@ -138,7 +138,7 @@
 		if !u.isOver() && pauseFor(ctx, writeRetry) {
 			continue
 		}
-		if u.lost {
+		if u.lost() {
 			return nil, fault.Wrap(fault.AnswerLost, err, "the store did not answer in time")
 		}
 		return nil, &RetryLaterError{fault.Wrap(fault.StoreUnavailable, err, "no time is left"), retryAfter}
@@ -147,9 +147,8 @@
 
 // unclear follows the attempts of one change.
 type unclear struct {
-	// lost says that an attempt had no answer: it may yet be carried out. lostAt is
-	// when that was first so.
-	lost   bool
+	// lostAt is when an attempt first had no answer: it may yet be carried out. Zero
+	// for none.
 	lostAt time.Time
 	// away is since when no way to the store works; zero while one may.
 	away time.Time
@@ -159,8 +158,8 @@
 // once; nil to try again.
 func (u *unclear) note(err error) error {
 	if !fault.Is(err, fault.StoreUnavailable) {
-		u.lost, u.away = u.lost || fault.Is(err, fault.AnswerLost), time.Time{}
-		if u.lost && u.lostAt.IsZero() {
+		u.away = time.Time{}
+		if fault.Is(err, fault.AnswerLost) && !u.lost() {
 			u.lostAt = time.Now()
 		}
 		return nil
@@ -169,7 +168,7 @@
 		u.away = time.Now()
 	}
 	switch {
-	case !u.lost:
+	case !u.lost():
 		return &RetryLaterError{err, retryAfter}
 	case time.Since(u.away) > unclearTime:
 		return &RetryLaterError{fault.Wrap(fault.AnswerLost, err, "the store did not answer, and can't be asked"), retryAfter}
@@ -177,9 +176,12 @@
 	return nil
 }
 
+// lost reports whether an attempt had no answer.
+func (u *unclear) lost() bool { return !u.lostAt.IsZero() }
+
 // bound returns a context for the next attempt.
 func (u *unclear) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	if u.lostAt.IsZero() {
+	if !u.lost() {
 		return ctx, func() {}
 	}
 	return context.WithDeadline(ctx, u.lostAt.Add(lostTime))
@@ -188,7 +190,7 @@
 // isOver reports whether the caller is to be told that it is unclear what became of
 // the change.
 func (u *unclear) isOver() bool {
-	return !u.lostAt.IsZero() && time.Since(u.lostAt) >= lostTime
+	return u.lost() && time.Since(u.lostAt) >= lostTime
 }
 
 // held returns the item that a write met; nil when it is that of an earlier
