Account for the time of each job by cause, and switch mechanisms off by name

Cause: a late job's log said how old it was, not what it had waited for, so a question of policy had to be answered from traces by hand.

Change: the planner keeps a ledger for each unit (decide/cause): time by a closed list of causes, from the acceptance until the last state is stored. The parts of the chain of units that ended last stand on the line "job ended" (now written once the state is stored), with the work of lost runs, and in the histograms job_time.QUEUE.CAUSE. placement.Plan says for the units that it is asked about why they wait.

No policy changes.

dogwood job explain does not reach a daemon on the platform, so the causes are not shown there.

--- a/internal/cli/platform/platform.go
+++ b/internal/cli/platform/platform.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/logs"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/platform"
 )
 
@@ -25,6 +27,10 @@
 	File string
 	// Level is debug, info, warn or error.
 	Level string
+	// List prints the mechanisms that can be switched off, and serves nothing.
+	List bool
+	// Disable is a comma-separated list of the mechanisms to switch off.
+	Disable string
 }
 
 // New returns the command.
@@ -34,6 +40,8 @@
 	fs.SetOutput(errOut)
 	fs.StringVar(&o.File, "node-file", platform.SettingsFile(), "settings `file` of the platform")
 	fs.StringVar(&o.Level, "log-level", "info", "lowest `level` to log: debug, info, warn or error")
+	fs.StringVar(&o.Disable, "experiments-disable", "", "comma-separated `mechanisms` of scheduling to switch off, for experiments")
+	fs.BoolVar(&o.List, "experiments-list", false, "print the mechanisms that can be switched off")
 	return &ffcli.Command{
 		Name: "platform", ShortUsage: "dogwoodd platform [flags]", ShortHelp: "Serve on the users' platform",
 		LongHelp: "Serve on the users' platform.\n\nEXAMPLES\n  dogwoodd platform --node-file /etc/dogwoodworks/node.toml",
@@ -42,11 +50,24 @@
 			if len(args) > 0 {
 				return fault.WithField(fault.BadSettings, "arguments", "%q is not accepted", args[0])
 			}
+			if o.List {
+				return o.list()
+			}
 			return o.run(ctx)
 		},
 	}
 }
 
+// list prints the mechanisms that can be switched off.
+func (o *Options) list() error {
+	for _, m := range policy.Mechanisms() {
+		if _, err := fmt.Fprintln(o.Out, m); err != nil {
+			return fault.Wrap(fault.Internal, err, "print the mechanisms")
+		}
+	}
+	return nil
+}
+
 func (o *Options) run(ctx context.Context) error {
 	// Before anything else, as SIGHUP ends the process until Notify is called.
 	reload := make(chan os.Signal, 1)
@@ -59,10 +80,17 @@
 	w := logs.NewWriter(o.Out)
 	defer w.Close()
 	log := slog.New(logs.NewHandler(w, level))
+	disabled, err := policy.ParseDisabled(o.Disable)
+	if err != nil {
+		return err
+	}
 	s, err := platform.ReadSettings(o.File)
 	if err != nil {
 		return err
 	}
+	if s.Disabled = disabled; len(disabled) > 0 {
+		log.Warn("mechanisms of scheduling are switched off for an experiment", "disabled", o.Disable)
+	}
 	n := platform.NewNode(s, log)
 	go platform.Reload(ctx, n, o.File, reload, log)
 	return n.Run(ctx)
--- a/internal/decide/order/order.go
+++ b/internal/decide/order/order.go
@@ -6,7 +6,11 @@
 // separately.
 package order
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
+)
 
 // Unit is a waiting schedulable unit.
 type Unit struct {
@@ -44,28 +48,29 @@
 }
 
 // servedBefore reports whether a is served before b.
-func servedBefore(a, b *Unit) bool {
+func servedBefore(a, b *Unit, disabled policy.Disabled) bool {
 	if a.Guaranteed != b.Guaranteed {
 		return a.Guaranteed
 	}
 	if (a.Priority == 0) != (b.Priority == 0) {
 		return a.Priority == 0
 	}
-	if ta, tb := a.timeliness(), b.timeliness(); ta != tb {
+	if ta, tb := a.timeliness(), b.timeliness(); ta != tb && !disabled[policy.OrderTimeliness] {
 		return ta < tb
 	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	return a.DueIn-a.CriticalPath < b.DueIn-b.CriticalPath
+	return !disabled[policy.OrderSlack] && a.DueIn-a.CriticalPath < b.DueIn-b.CriticalPath
 }
 
-// Sort returns the indices of units in the order in which they are served.
-func Sort(units []Unit) []int {
+// Sort returns the indices of units in the order in which they are served. Units of
+// equal rank keep their order.
+func Sort(units []Unit, disabled policy.Disabled) []int {
 	indices := make([]int, len(units))
 	for i := range indices {
 		indices[i] = i
 	}
-	sort.SliceStable(indices, func(i, j int) bool { return servedBefore(&units[indices[i]], &units[indices[j]]) })
+	sort.SliceStable(indices, func(i, j int) bool { return servedBefore(&units[indices[i]], &units[indices[j]], disabled) })
 	return indices
 }
--- a/internal/decide/order/order_test.go
+++ b/internal/decide/order/order_test.go
@@ -33,7 +33,7 @@
 			// Sort must restore the order from every rotation of the list.
 			for shift := range n {
 				rotated := append(append([]order.Unit(nil), o.Units[shift:]...), o.Units[:shift]...)
-				for i, k := range order.Sort(rotated) {
+				for i, k := range order.Sort(rotated, nil) {
 					is.Equal(rotated[k], o.Units[i])
 				}
 			}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -8,6 +8,10 @@
 package placement
 
 import (
+	"slices"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -85,6 +89,11 @@
 	// Reservations is the maximum number of blocked gangs that get a
 	// reservation.
 	Reservations int
+	// Explain has the indices of the waiting units for which Decision.Reasons
+	// says why they wait.
+	Explain []int
+	// Disabled are the mechanisms that are switched off.
+	Disabled policy.Disabled
 }
 
 // Assignment assigns each task of a unit to a worker.
@@ -102,6 +111,8 @@
 	Nominations []Assignment
 	// Stops are indices of Input.Running.
 	Stops []int
+	// Reasons says why units wait, by their index in Input.Waiting.
+	Reasons map[int]cause.Cause
 }
 
 // plan is the state of one call of Plan.
@@ -129,6 +140,8 @@
 	// runningOn has the running units of each worker, once for each of their
 	// tasks there.
 	runningOn [][]int
+	// reserved is the number of units that have a reservation.
+	reserved int
 	// reservedFrom has the reserved workers and the time until their
 	// reservation begins, in seconds. Only units that end before then may start
 	// there.
@@ -138,7 +151,10 @@
 	// preemptionFailed has the urgent units for which no pre-emption frees
 	// enough capacity. It is cleared when a running unit is stopped.
 	preemptionFailed map[preemptionKey]bool
-	out              Decision
+	// useClosed makes workers eligible that accept no new work, to explain why a unit
+	// waits.
+	useClosed bool
+	out       Decision
 }
 
 // rack is a rack with its workers. reclaimable is the number of accelerators
@@ -191,36 +207,41 @@
 // Plan decides on the waiting units in their order.
 func Plan(in Input) Decision {
 	p := newPlan(&in)
-	reserved := 0
 	for i := range in.Waiting {
 		p.processNominated(i)
 	}
 	for i := range in.Waiting {
-		u := &in.Waiting[i]
-		if u.Nominated != nil {
-			continue
-		}
-		blocked := p.isBlocked(u)
-		if blocked && !u.Urgent && (u.Tasks == 1 || reserved >= in.Reservations) {
-			continue
-		}
-		if !blocked {
-			if ws := p.findWorkers(u, p.free, true); ws != nil {
-				p.start(i, ws)
-				continue
-			}
-		}
-		if u.Urgent && p.clear(i) {
-			continue
-		}
-		p.recordBlocked(u)
-		if reserved < in.Reservations && u.Tasks > 1 && p.reserve(u) {
-			reserved++
+		if in.Waiting[i].Nominated == nil {
+			p.process(i)
 		}
 	}
+	p.explain()
 	return p.out
 }
 
+// process starts a unit that is not nominated, clears capacity for it or reserves workers
+// for it, if it can.
+func (p *plan) process(i int) {
+	u := &p.in.Waiting[i]
+	blocked := p.isBlocked(u)
+	if blocked && !u.Urgent && (u.Tasks == 1 || p.reserved >= p.in.Reservations) {
+		return
+	}
+	if !blocked {
+		if ws := p.findWorkers(u, p.free, true); ws != nil {
+			p.start(i, ws)
+			return
+		}
+	}
+	if u.Urgent && !p.in.Disabled[policy.Preemption] && p.clear(i) {
+		return
+	}
+	p.recordBlocked(u)
+	if p.reserved < p.in.Reservations && u.Tasks > 1 && p.reserve(u) {
+		p.reserved++
+	}
+}
+
 func newPlan(in *Input) *plan {
 	p := &plan{
 		in: in, stopped: make([]bool, len(in.Running)), candidates: make([]candidate, len(in.Workers)),
@@ -228,6 +249,12 @@
 		rackOf: make([]int, len(in.Workers)), all: make([]int, len(in.Workers)), runningOn: make([][]int, len(in.Workers)),
 		reservedFrom: make(map[int]float64), blocked: make(map[placementConstraints]blockedUnit), preemptionFailed: make(map[preemptionKey]bool),
 	}
+	if in.Disabled[policy.LeastLoss] {
+		in.Running = slices.Clone(in.Running)
+		for i := range in.Running {
+			in.Running[i].DiscardedWork = 1
+		}
+	}
 	byName := make(map[string]int)
 	for i := range in.Workers {
 		w := &in.Workers[i]
--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -176,6 +177,9 @@
 // first: only units that end before then may still start there. It reports
 // whether there are such workers.
 func (p *plan) reserve(u *Unit) bool {
+	if p.in.Disabled[policy.Reservations] {
+		return false
+	}
 	byEnd := make([]int, 0, len(p.in.Running))
 	for r := range p.in.Running {
 		byEnd = append(byEnd, r)
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -10,7 +11,7 @@
 // empty.
 func (p *plan) eligible(u *Unit, w int) bool {
 	x := &p.in.Workers[w]
-	return x.Schedulable && x.Service == u.Service && !u.Avoid[w] && u.Shape.Fits(x.Capacity) &&
+	return (x.Schedulable || p.useClosed) && x.Service == u.Service && !u.Avoid[w] && u.Shape.Fits(x.Capacity) &&
 		(u.Rack == "" || u.Rack == x.Rack) && (u.Label == "" || slices.Contains(x.Labels, u.Label))
 }
 
@@ -131,7 +132,7 @@
 // stay reclaimable.
 func (p *plan) score(u *Unit, w int, free model.Shape, tasks int) float64 {
 	s := p.freeShare(free.Minus(u.Shape), w)
-	if !u.Urgent {
+	if !u.Urgent || p.in.Disabled[policy.GatherUrgent] {
 		return s
 	}
 	reclaimable := p.reclaimable[w].Minus(u.Shape)
@@ -174,5 +175,5 @@
 // is expected to end.
 func (p *plan) isReserved(u *Unit, w int) bool {
 	from, ok := p.reservedFrom[w]
-	return ok && u.Runtime > from
+	return ok && (u.Runtime > from || p.in.Disabled[policy.Backfill])
 }
--- a/internal/decide/placement/script_test.go
+++ b/internal/decide/placement/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -41,6 +42,11 @@
 		Claim, Avoid                 []string
 	}
 	Reservations int
+	// Disabled are the mechanisms that are switched off.
+	Disabled string
+	// Reasons has why each waiting unit waits; empty for a unit that starts. They are
+	// asked for only if the list is not empty.
+	Reasons []string
 	// Starts and Claims (the nominations) are in the form that script.names
 	// returns. Stops are indices of Running.
 	Starts, Claims []string
@@ -55,6 +61,9 @@
 
 func (s *script) input() placement.Input {
 	in := placement.Input{Reservations: s.Reservations}
+	for i := range s.Reasons {
+		in.Explain = append(in.Explain, i)
+	}
 	index := make(map[string]int)
 	for i, w := range s.Workers {
 		index[w.ID] = i
@@ -115,7 +124,17 @@
 			is.NoErr(err)
 			var s script
 			is.NoErr(toml.Unmarshal(b, &s))
-			d := placement.Plan(s.input())
+			in := s.input()
+			in.Disabled, err = policy.ParseDisabled(s.Disabled)
+			is.NoErr(err)
+			d := placement.Plan(in)
+			for i, want := range s.Reasons {
+				got := ""
+				if c, ok := d.Reasons[i]; ok {
+					got = c.String()
+				}
+				is.Equal(got, want)
+			}
 			slices.Sort(d.Stops)
 			is.Equal(s.names(d.Starts), s.Starts)
 			is.Equal(s.names(d.Nominations), s.Claims)
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/follow"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
@@ -73,8 +74,10 @@
 	Config  Config
 	Store   path.Access
 	Planner Planner
-	Log     *slog.Logger
-	Meter   *meter.Meter
+	// Disabled are the mechanisms that are switched off for an experiment.
+	Disabled policy.Disabled
+	Log      *slog.Logger
+	Meter    *meter.Meter
 
 	mu      sync.Mutex
 	summary model.PlannerSummary
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
@@ -68,7 +69,9 @@
 	js.Meter.Time("accept_time", time.Since(began))
 	js.Log.Info("job accepted", "job", j.ID, "queue", t.Queue.Name, "account", t.Account, "version", t.Version,
 		"steps", len(j.Steps), "took_ms", time.Since(began).Milliseconds())
-	js.notify(ctx, func(ctx context.Context) error { return js.Planner.Submit(ctx, j.ID, value) })
+	if !js.Disabled[policy.Notices] {
+		js.notify(ctx, func(ctx context.Context) error { return js.Planner.Submit(ctx, j.ID, value) })
+	}
 	return nil
 }
 
@@ -96,7 +99,7 @@
 // run a task of the job.
 func (js *JobService) checkFits(t *Target, j *model.Job) error {
 	summary, ok := js.lastSummary()
-	if !ok {
+	if !ok || js.Disabled[policy.RefuseUnfit] {
 		return nil
 	}
 	for i := range j.Steps {
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -1,6 +1,10 @@
 package model
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
+)
 
 // Settings are the settings of a daemon on the platform.
 type Settings struct {
@@ -23,6 +27,8 @@
 	Cores float64
 	// MaxFileDescriptors bounds the file descriptors of the process; 0 for no bound.
 	MaxFileDescriptors int
+	// Disabled are the mechanisms that are switched off for an experiment.
+	Disabled policy.Disabled
 }
 
 // Bounds are the time limits that the platform specifies.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -96,9 +96,9 @@
 	}
 	n.planner = &planner.Planner{
 		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
-		Bounds: s.Bounds, Log: n.Log, Meter: n.Meter,
+		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
-	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Log: n.Log, Meter: n.Meter}
+	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter}
 }
 
 // Stopping reports whether a planned stop of the daemon is in progress.
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -336,6 +336,7 @@
 	j := row.job
 	if row.state != "" && j.state == row.state {
 		j.persisted = true
+		t.logEnd(j, time.Now())
 	}
 	for _, m := range row.starts {
 		if !m.removed && !m.startSent {
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 )
 
 const (
@@ -169,6 +170,9 @@
 	if len(w.members) > 0 || len(w.unknownRuns) > 0 {
 		o.MaxWait = min(max(renewalWait, renewalWait*time.Duration(len(t.listed))/renewalWaitWorkers), idleRenewalWait)
 	}
+	if t.p.Disabled[policy.WaitingRenewals] {
+		o.MaxWait = 0
+	}
 	o.MaxWait = min(o.MaxWait, time.Duration(float64(lease)*maxWaitShare)).Truncate(time.Millisecond)
 	return o
 }
@@ -267,6 +271,7 @@
 func (t *term) applyRunning(w *worker, m *member, r RunReport, sentAt boottime.Time) {
 	if m.startAckedAt == 0 {
 		m.startAckedAt = sentAt
+		m.unit.recordStarted(time.Now())
 	}
 	m.incarnation, m.reported = w.incarnation, true
 	if r.Checkpoint != "" {
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -14,8 +16,8 @@
 	}
 	j := &job{
 		id: s.Job.ID, spec: s, queue: s.Queue, units: make(map[unitKey]*unit),
-		accepted: time.UnixMilli(s.AcceptedMS),
 	}
+	t.recordArrival(j, source)
 	if s.Job.Occurrences == 0 {
 		j.createUnits(1)
 	}
@@ -92,16 +94,18 @@
 // finish sets a job's terminal state and stops its remaining runs.
 func (t *term) finish(j *job, s model.JobState) {
 	j.state, j.persisted, j.endedMS = s, false, unixMS()
+	if j.finishedAt.IsZero() {
+		j.finishedAt = time.Now()
+	}
 	t.markUnwritten(j)
 	delete(t.live, j.id)
 	for _, u := range j.unitList {
 		u.nominated = nil
+		u.ledger.Close(j.finishedAt)
 		for _, m := range u.members {
 			t.stop(m)
 		}
 	}
-	t.p.Log.Info("job ended", "job", j.id, "state", s, "account", j.spec.Account, "queue", j.queue.Name,
-		"age_ms", time.Since(j.accepted).Milliseconds())
 }
 
 // completeIfDone completes a job if all its units are done.
@@ -138,7 +142,7 @@
 	}
 	u := m.unit
 	t.dropMember(w, m)
-	if r.Checkpoint != "" && u.step().Checkpoints {
+	if r.Checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = r.Checkpoint
 	}
 	t.p.Meter.Inc("end_" + string(r.Kind))
@@ -149,7 +153,7 @@
 	case ResultFailed:
 		t.applyFailure(w, u, r)
 	default:
-		t.abortRun(u)
+		t.abortRun(u, resultCause(r.Kind))
 	}
 	t.releaseIfStopped(u)
 }
@@ -220,10 +224,11 @@
 		return
 	}
 	if u.step().LongRunning {
-		t.abortRun(u)
+		t.abortRun(u, cause.RunFailed)
 		return
 	}
-	u.done = true
+	u.done, u.doneAt = true, time.Now()
+	u.ledger.Close(u.doneAt)
 	t.markUnwritten(u.job)
 	t.completeIfDone(u.job)
 }
@@ -239,7 +244,7 @@
 		u.failedRun = r.Run
 		u.failures++
 	}
-	t.abortRun(u)
+	t.abortRun(u, cause.RunFailed)
 	t.attributeFailure(w, u)
 	t.p.Log.Info("run failed", "job", u.job.id, "task", r.Task, "run", r.Run, "worker", w.id, "failures", u.failures, "allowed", u.job.queue.MaxAttempts)
 	if !u.job.ended() && !u.step().LongRunning && u.failures >= u.job.queue.MaxAttempts {
@@ -275,17 +280,23 @@
 }
 
 func (t *term) closeWorker(w *worker, reason string, d time.Duration) {
+	if t.p.Disabled[policy.Quarantine] {
+		return
+	}
 	w.closedUntil = time.Now().Add(d)
 	t.p.Meter.Inc("worker_closed")
 	t.p.Log.Warn("worker closed", "worker", w.id, "reason", reason, "for_ms", d.Milliseconds())
 }
 
-// abortRun stops the remaining members of a unit's run.
-func (t *term) abortRun(u *unit) {
+// abortRun stops the remaining members of a unit's run, which is lost for a cause.
+func (t *term) abortRun(u *unit, c cause.Cause) {
 	if u.done {
 		return
 	}
 	u.aborting = true
+	if lost := u.ledger.LoseRun(c, u.resumes(t.p.Disabled), time.Now()); lost > 0 {
+		u.job.recordLostWork(c, lost.Seconds()*u.step().Shape.Cores()*float64(u.tasks()))
+	}
 	if !u.job.ended() {
 		t.markUnwritten(u.job)
 	}
@@ -307,10 +318,10 @@
 	t.p.Log.Warn("run lost", "job", u.job.id, "task", m.task(), "run", m.run, "worker", w.id, "reason", reason,
 		"answered", m.startAckedAt != 0, "adopted", m.adopted)
 	t.dropMember(w, m)
-	if m.checkpoint != "" && u.step().Checkpoints {
+	if m.checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = m.checkpoint
 	}
-	t.abortRun(u)
+	t.abortRun(u, cause.WorkerLost)
 	t.releaseIfStopped(u)
 }
 
@@ -331,5 +342,8 @@
 func (t *term) releaseIfStopped(u *unit) {
 	if len(u.members) == 0 {
 		u.members, u.aborting = nil, false
+		if u.isWaiting() {
+			u.ledger.Switch(cause.Plan, time.Now())
+		}
 	}
 }
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 )
 
 const (
@@ -41,6 +42,9 @@
 	}
 	w.leaseUntil = max(w.leaseUntil, order.Deadline)
 	m.startSent, m.startInFlight = true, true
+	if !m.unit.aborting {
+		m.unit.ledger.Switch(cause.Start, time.Now())
+	}
 	client, roundTrip := w.client, w.roundTrip
 	t.goTask("start", func() { t.sendStart(m, client, order, now.Add(startRetryTime+2*roundTrip), orderTimeout+2*roundTrip) })
 }
@@ -112,6 +116,7 @@
 	m.startAckedAt = boottime.Now()
 	t.p.Meter.Inc("start_ok")
 	t.p.Log.Debug("started", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "token", m.token)
+	m.unit.recordStarted(time.Now())
 	if m.stopping {
 		t.stop(m)
 	}
@@ -134,7 +139,7 @@
 	}
 	if maybeStarted && !m.removed {
 		m.stopAckedAt = boottime.Now()
-		t.abortRun(m.unit)
+		t.abortRun(m.unit, cause.StartFailed)
 	} else {
 		t.abandonStart(m, "refused")
 	}
@@ -152,7 +157,7 @@
 	}
 	t.p.Log.Info("start abandoned", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "reason", reason)
 	t.dropMember(w, m)
-	t.abortRun(m.unit)
+	t.abortRun(m.unit, cause.StartFailed)
 	t.releaseIfStopped(m.unit)
 }
 
@@ -171,7 +176,7 @@
 		return
 	}
 	t.p.Log.Warn("no response to start", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker)
-	t.abortRun(m.unit)
+	t.abortRun(m.unit, cause.StartFailed)
 	t.stop(m)
 	t.notify()
 }
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -33,13 +35,16 @@
 	if t.warmingUp() {
 		return
 	}
+	t.recordLeaseWaits(now)
 	t.refreshQueues()
 	v := t.view(now)
 	t.logLongWaiting(v, now)
 	if len(v.waiting) == 0 {
 		return
 	}
+	t.requestCauses(v, now)
 	decision := t.p.Decide(v.in)
+	t.applyCauses(v, decision.Reasons, now)
 	var stopped, placed []*unit
 	for _, r := range decision.Stops {
 		stopped = append(stopped, v.running[r])
@@ -70,7 +75,7 @@
 // warmingUp reports whether the term still waits for the responses of most workers.
 func (t *term) warmingUp() bool {
 	bound := warmUpBase + time.Duration(len(t.listed))*warmUpPerWorker
-	return boottime.Since(t.startedAt) <= bound && t.respondedShare() < warmUpShare
+	return boottime.Since(t.startedAt) <= bound && t.respondedShare() < warmUpShare && !t.p.Disabled[policy.WarmUp]
 }
 
 // refreshQueues updates the queues of the live jobs from the current configuration.
@@ -96,7 +101,7 @@
 // preempt stops a unit to free its resources.
 func (t *term) preempt(u *unit) {
 	t.p.Meter.Inc("preempted")
-	t.abortRun(u)
+	t.abortRun(u, cause.Preempted)
 }
 
 // place records the placement of a unit. The starts are sent once the placement is
@@ -105,6 +110,7 @@
 	u := v.waiting[a.Unit]
 	u.run++
 	u.nominated, u.placedAt = nil, now
+	u.ledger.BeginRun(now)
 	u.job.everPlaced = true
 	for i, k := range a.Workers {
 		w := v.workers[k]
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/lock"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
@@ -38,6 +39,8 @@
 	Bounds model.Bounds
 	Log    *slog.Logger
 	Meter  *meter.Meter
+	// Disabled are the mechanisms that are switched off for an experiment.
+	Disabled policy.Disabled
 	// Decide selects the placements of the waiting units; the default is placement.Plan.
 	Decide func(placement.Input) placement.Decision
 
@@ -45,6 +48,8 @@
 
 	mu   sync.Mutex
 	term *term
+	// accountQueues are the queues that have histograms of their own.
+	accountQueues map[string]bool
 }
 
 // guards disables rules of the run protocol, one by one, so that tests can show that each
--- a/internal/fleet/planner/scene_test.go
+++ b/internal/fleet/planner/scene_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,8 @@
 	decide func(placement.Input) placement.Decision
 	// mu guards terms and ordersWithoutLock: the current term of each VM, and the orders
 	// that were sent while the VM did not own the lock.
+	// accounts checks the time by cause that the planners log for each job.
+	accounts          accountChecker
 	mu                sync.Mutex
 	terms             map[string]lock.Term
 	ordersWithoutLock []string
@@ -94,17 +97,17 @@
 	return f
 }
 
-func logger() *slog.Logger {
-	out := os.Stderr
-	if os.Getenv("SCENE_LOG") == "" {
-		return slog.New(slog.DiscardHandler)
+func (f *testFleet) logger() *slog.Logger {
+	h := &accountHandler{slog.DiscardHandler, &f.accounts}
+	if os.Getenv("SCENE_LOG") != "" {
+		h.Handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})
 	}
-	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	return slog.New(h)
 }
 
 // startVM starts a VM with a planner.
 func (f *testFleet) startVM(vm string) {
-	log, m := logger().With("vm", vm), &meter.Meter{}
+	log, m := f.logger().With("vm", vm), &meter.Meter{}
 	view := &world.View{Store: f.world.Store, Link: f.world.Link(vm, "store")}
 	p := &planner.Planner{
 		Store: view, Config: f.config, WorkerPrefix: world.WorkerPrefix, DecodeWorker: world.DecodeWorker,
@@ -151,7 +154,7 @@
 func (f *testFleet) allViolations() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append(f.world.Violations(), f.ordersWithoutLock...)
+	return slices.Concat(f.world.Violations(), f.ordersWithoutLock, f.accounts.violations())
 }
 
 // recordingClient is a client that reports each order before it sends it.
--- a/internal/fleet/planner/slow.go
+++ b/internal/fleet/planner/slow.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/progress"
 )
 
@@ -69,6 +71,9 @@
 // checkSlow closes a worker if all its tasks with a known rate are slow, and moves the
 // tasks that would finish sooner elsewhere.
 func (t *term) checkSlow(w *worker) {
+	if t.p.Disabled[policy.SlowWorkers] {
+		return
+	}
 	slow, healthy := 0, 0
 	for _, m := range w.members {
 		switch m.tracker.State {
@@ -114,5 +119,5 @@
 	t.p.Meter.Inc("moved_off_slow")
 	t.p.Log.Info("moved off a slow worker", "job", u.job.id, "task", m.task(), "run", m.run, "worker", w.id, "percent", m.percent,
 		"rate", m.tracker.Rate, "usual", max(m.tracker.BestRate, u.job.bestRates[u.key.step]), "checkpoints", checkpoints)
-	t.abortRun(u)
+	t.abortRun(u, cause.Moved)
 }
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/progress"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
@@ -46,6 +47,15 @@
 	// revision is the store revision of the run record; 0 if there is none.
 	revision int64
 	accepted time.Time
+	// takenAt is when this term added the job, and before the time until then by cause.
+	takenAt time.Time
+	before  cause.Spent
+	// finishedAt is when the job reached its terminal state; logged reports whether its
+	// end was logged.
+	finishedAt time.Time
+	logged     bool
+	// lostWork is the work of lost runs by cause, in core-seconds.
+	lostWork map[cause.Cause]float64
 	// guaranteed reports whether the job is covered by its account's guarantee.
 	guaranteed bool
 	// bestRates is the highest rate of progress of the tasks of each step, in percent per
@@ -81,6 +91,9 @@
 	// readyAt is when the unit could first start; zero before that.
 	readyAt  time.Time
 	placedAt time.Time
+	// ledger accounts for the time from readyAt until doneAt.
+	ledger cause.Ledger
+	doneAt time.Time
 	// avoidUntil is the time until which the unit avoids a worker on which it failed.
 	avoidUntil map[string]time.Time
 	// moves counts how often the unit was moved off a slow worker.
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
 )
@@ -36,6 +37,8 @@
 	// valid reports whether this VM certainly owns the lock.
 	valid     func() bool
 	startedAt boottime.Time
+	// beganAt is startedAt on the clock of the ledgers.
+	beganAt time.Time
 	// wake requests a scheduling pass.
 	wake  chan struct{}
 	loops sync.WaitGroup
@@ -65,6 +68,10 @@
 	unacked map[*worker]bool
 	// explainedAt is when the long-waiting units were last logged.
 	explainedAt time.Time
+	// causesAt is when the causes of all waiting units were last determined.
+	causesAt time.Time
+	// suspended reports whether the last scheduling pass found that the lock may be lost.
+	suspended bool
 	// removedRecordsAt is when records of ended jobs were last removed.
 	removedRecordsAt time.Time
 	// writeAfter is the time before which no write begins, set after a failed write.
@@ -77,7 +84,7 @@
 
 func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
 	return &term{
-		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, startedAt: boottime.Now(),
+		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, startedAt: boottime.Now(), beganAt: time.Now(),
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
 		unacked: make(map[*worker]bool), firstRenewals: make(semaphore, maxLimitedRenewals), retryRenewals: make(semaphore, maxLimitedRenewals),
 	}
@@ -166,7 +173,8 @@
 	}
 	j.revision, j.everPlaced = it.Revision, r.EverPlaced
 	if r.State != "" {
-		j.state, j.persisted, j.endedMS = r.State, true, r.EndedMS
+		// The term in which the job ended has logged its end.
+		j.state, j.persisted, j.endedMS, j.logged = r.State, true, r.EndedMS, true
 		delete(t.live, id)
 	}
 	for _, x := range r.Units {
@@ -192,6 +200,10 @@
 		})
 	}
 	u.placedAt = time.Now()
+	if len(u.members) > 0 {
+		u.ledger.Begin(cause.Run, t.beganAt)
+		u.readyAt = t.beganAt
+	}
 }
 
 // attachMembers adds the members of a job to their workers.
@@ -286,12 +298,14 @@
 // the writes: with a slow store, changes arrive as fast as they are written, and waiting
 // units would be delayed until the last of them.
 func (t *term) schedule() {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if !t.valid() {
+		t.recordSuspended(now)
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
+	t.suspended = false
 	t.expireLeases()
 	t.createDueUnits(now)
 	if !t.draining {
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/order"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 )
 
 // view is the input of one scheduling pass and the workers and units that its indices
@@ -31,7 +32,7 @@
 
 func (t *term) view(now time.Time) *view {
 	v := &view{workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string]bool)}
-	v.in.Reservations = maxReservations
+	v.in.Reservations, v.in.Disabled = maxReservations, t.p.Disabled
 	v.in.Workers = make([]placement.Worker, 0, len(v.workers))
 	for i, w := range v.workers {
 		v.workerIndex[w.id] = i
@@ -114,7 +115,7 @@
 				k = len(v.running)
 				index[u] = k
 				v.running = append(v.running, u)
-				v.in.Running = append(v.in.Running, u.runningInput(now))
+				v.in.Running = append(v.in.Running, t.runningInput(u, now))
 			}
 			r := &v.in.Running[k]
 			r.Workers = append(r.Workers, i)
@@ -124,16 +125,16 @@
 }
 
 // runningInput returns the placement input of a unit that occupies resources.
-func (u *unit) runningInput(now time.Time) placement.Running {
+func (t *term) runningInput(u *unit, now time.Time) placement.Running {
 	s := u.step()
 	r := placement.Running{
 		Shape: s.CountedShape(), Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
 		Stopping: u.done || u.aborting || u.job.ended(), NotPreemptible: s.LongRunning && s.MaxUnavailable > 0,
 	}
 	elapsed := now.Sub(u.placedAt).Seconds()
-	r.EndsIn = u.expectedRemaining(elapsed)
+	r.EndsIn = u.expectedRemaining(elapsed, t.p.Disabled[policy.ProgressEstimates])
 	discarded := elapsed
-	if s.Checkpoints {
+	if s.Checkpoints && !t.p.Disabled[policy.Checkpoints] {
 		// A stop saves a checkpoint, so at most about a second of work is discarded: the
 		// time to resume.
 		discarded = min(discarded, 1)
@@ -142,13 +143,14 @@
 	return r
 }
 
-// expectedRemaining returns the expected time until a running unit ends, in seconds.
-func (u *unit) expectedRemaining(elapsed float64) float64 {
+// expectedRemaining returns the expected time until a running unit ends, in seconds. If
+// estimateOnly is set, it disregards the unit's progress.
+func (u *unit) expectedRemaining(elapsed float64, estimateOnly bool) float64 {
 	percent := 100.0
 	for _, m := range u.members {
 		percent = min(percent, m.percent)
 	}
-	if percent >= 10 && percent < 100 && elapsed > 1 {
+	if percent >= 10 && percent < 100 && elapsed > 1 && !estimateOnly {
 		return max(elapsed*(100-percent)/percent, minRemaining)
 	}
 	return max(u.step().Estimate.Seconds()-elapsed, minRemaining)
@@ -176,11 +178,9 @@
 		n += len(steps[i].units)
 	}
 	v.waiting, v.in.Waiting = make([]*unit, 0, n), make([]placement.Unit, 0, n)
-	for _, k := range order.Sort(ranks) {
+	for _, k := range order.Sort(ranks, t.p.Disabled) {
 		for _, u := range steps[k].units {
-			if u.readyAt.IsZero() {
-				u.readyAt = now
-			}
+			t.markReady(u, now)
 			v.waiting = append(v.waiting, u)
 			v.in.Waiting = append(v.in.Waiting, t.waitingInput(v, u, now))
 		}
@@ -237,13 +237,18 @@
 	}
 	age := now.Sub(since).Seconds()
 	criticalPaths := j.criticalPaths()
-	objective := j.queue.ObjectiveFactor*slices.Max(criticalPaths) + j.queue.ObjectiveConstant.Seconds()
+	objective := j.objective().Seconds()
 	return order.Unit{
 		Guaranteed: j.guaranteed, Priority: j.queue.Priority,
 		DueIn: objective - age, WorthlessIn: worthlessFactor*objective - age, CriticalPath: criticalPaths[u.key.step],
 	}
 }
 
+// objective returns the job's completion-time objective according to its estimates.
+func (j *job) objective() time.Duration {
+	return time.Duration(j.queue.ObjectiveFactor*slices.Max(j.criticalPaths())*float64(time.Second)) + j.queue.ObjectiveConstant
+}
+
 // criticalPaths returns, for each step, the estimated time in seconds from its start
 // until all steps that depend on it are done.
 func (j *job) criticalPaths() []float64 {
@@ -269,7 +274,7 @@
 		PerWorker: s.PerWorker, Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
 		Runtime: s.Estimate.Seconds(),
 	}
-	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > anyRackAge {
+	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > anyRackAge && !t.p.Disabled[policy.LeaveRack] {
 		in.SameRack = false
 	}
 	if v.racks[s.Rack] {
@@ -279,14 +284,14 @@
 		in.StepTasks = v.tasksPerWorker(u)
 	}
 	for id, until := range u.avoidUntil {
-		if i, ok := v.workerIndex[id]; ok && now.Before(until) {
+		if i, ok := v.workerIndex[id]; ok && now.Before(until) && !t.p.Disabled[policy.AvoidFailed] {
 			if in.Avoid == nil {
 				in.Avoid = make(map[int]bool)
 			}
 			in.Avoid[i] = true
 		}
 	}
-	if u.nominated != nil && now.Sub(u.nominatedAt) < nominationTime {
+	if u.nominated != nil && now.Sub(u.nominatedAt) < nominationTime && !t.p.Disabled[policy.Nomination] {
 		in.Nominated = v.workerIndices(u.nominated)
 	}
 	return in
