Notice the return of a silent store within 0.1 s

A holder whose renewals are not answered renewed each 0.5 s.

Ruled out: shorter timeouts of probes, which a slow store would never answer.

Change: a probe each 100 ms, whether or not the one before it was answered, as many in flight as time out meanwhile; 20 renewals a TTL while one is overdue.

Tests: TestSilentStoreIsReachedSoonAfterItsReturn fails on the old probes, and failed with 8 in flight (none is sent in the last 0.4 s of a timeout); TestTermContinuesSoonAfterAnOutage.

--- a/internal/fleet/lock/lock.go
+++ b/internal/fleet/lock/lock.go
@@ -27,6 +27,9 @@
 	expiryMargin = 200 * time.Millisecond
 	// renewalsPerTTL is the number of renewals within a TTL.
 	renewalsPerTTL = 4
+	// overdueRenewals is the number of renewals within a TTL while one is overdue, so
+	// that the term continues soon after the store responds again.
+	overdueRenewals = 20
 	// watchWait bounds one watch of the lock, so that an unresponsive watch is
 	// detected.
 	watchWait = 3 * time.Second
@@ -83,6 +86,8 @@
 	// until validUntil.
 	term       int64
 	validUntil boottime.Time
+	// renewedAt is when the last successful renewal of the term was sent.
+	renewedAt boottime.Time
 	// leaseLost reports that the lease of the term no longer exists in the store.
 	leaseLost bool
 }
@@ -227,7 +232,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.term, l.validUntil, l.leaseLost = revision, sentAt.Add(ttl-expiryMargin), false
+	l.term, l.validUntil, l.renewedAt, l.leaseLost = revision, sentAt.Add(ttl-expiryMargin), sentAt, false
 	l.mu.Unlock()
 	h := l.Self
 	h.Revision = revision
@@ -283,9 +288,9 @@
 			l.Log.Warn("planner term failed; releasing the lock", "term", t.Revision, "error", err)
 		}
 	}()
-	tick := time.NewTicker(ttl / renewalsPerTTL)
+	tick := time.NewTicker(ttl / overdueRenewals)
 	defer tick.Stop()
-	for {
+	for ticks := 1; ; ticks++ {
 		select {
 		case <-done:
 			return
@@ -298,6 +303,10 @@
 			<-done
 			return
 		}
+		overdue := l.sinceRenewal() > ttl/renewalsPerTTL+ttl/overdueRenewals
+		if !overdue && ticks%(overdueRenewals/renewalsPerTTL) != 0 {
+			continue
+		}
 		// A slow response must not delay the next renewal.
 		go l.renew(termCtx, t.Revision, lease, ttl)
 	}
@@ -332,7 +341,7 @@
 	}
 	switch {
 	case err == nil:
-		l.validUntil = max(l.validUntil, sentAt.Add(ttl-expiryMargin))
+		l.validUntil, l.renewedAt = max(l.validUntil, sentAt.Add(ttl-expiryMargin)), max(l.renewedAt, sentAt)
 		l.holderAt = time.Now()
 	case fault.Is(err, fault.NotFound):
 		l.validUntil, l.leaseLost = 0, true
@@ -340,3 +349,10 @@
 		l.Meter.Inc("lock_renewal_failed")
 	}
 }
+
+// sinceRenewal returns the time since the last successful renewal was sent.
+func (l *Lock) sinceRenewal() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return boottime.Since(l.renewedAt)
+}
--- a/internal/fleet/lock/lock_test.go
+++ b/internal/fleet/lock/lock_test.go
@@ -205,3 +205,23 @@
 		is.Equal(b.terms.Load(), int64(0))
 	})
 }
+
+// TestTermContinuesSoonAfterAnOutage checks that a holder whose renewals were not answered
+// leads soon after the store has returned, at whatever time within a renewal the outage
+// began.
+func TestTermContinuesSoonAfterAnOutage(t *testing.T) {
+	runWithLeader(t, func(is *is.I, _ *world.World, a *candidate) {
+		const outage = lock.TTL * 6 / 10 // shorter than what is left of the lease
+		for offset := range 10 {
+			time.Sleep(time.Duration(offset) * lock.TTL / 30)
+			a.link.Cut(true)
+			time.Sleep(outage)
+			a.link.Cut(false)
+			// While a renewal is overdue, one is sent 20 times a TTL; its answer takes up to 30 ms.
+			time.Sleep(lock.TTL/20 + 60*time.Millisecond)
+			is.True(a.leads())
+			time.Sleep(time.Second)
+		}
+		is.Equal(a.terms.Load(), int64(1))
+	})
+}
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -21,13 +21,15 @@
 	// relayTimeout bounds a call through a peer, which makes a direct call itself.
 	relayTimeout = 1300 * time.Millisecond
 	// probeInterval is the time between two direct probes of the store while calls
-	// go to peers first.
-	probeInterval = 300 * time.Millisecond
+	// go to peers first. A probe does not wait for the one before it, since a silent
+	// store leaves each of them waiting for directTimeout.
+	probeInterval = 100 * time.Millisecond
+	// maxProbes is the number of probes in flight while none is answered.
+	maxProbes = int(directTimeout/probeInterval) + 1
 	// maxRelays bounds the number of peers tried for one call.
 	maxRelays = 2
 	// relayBackoff is how long after all peers failed they are not tried again while
-	// the direct route fails too; calls are refused immediately during this time. It
-	// is shorter than probeInterval, so a refusal reflects the last probe.
+	// the direct route fails too; calls are refused immediately during this time.
 	relayBackoff = 250 * time.Millisecond
 )
 
@@ -223,20 +225,35 @@
 
 // Run probes the store while the direct route fails, until ctx ends.
 func (p *Path) Run(ctx context.Context) {
+	slots := make(chan struct{}, maxProbes)
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for ctx.Err() == nil {
 		if p.isDirectFailing() {
-			err := p.callDirect(ctx, func(ctx context.Context, a Access) error {
-				_, _, err := a.Get(ctx, p.ProbeKey)
-				return err
-			})
-			if err != nil {
-				p.Meter.Inc("store_probe_failed")
+			select {
+			case slots <- struct{}{}:
+				probes.Go(func() {
+					defer func() { <-slots }()
+					p.probe(ctx)
+				})
+			default:
 			}
 		}
 		pause.For(ctx, probeInterval)
 	}
 }
 
+// probe reads a key directly, which ends the failure of the direct route if it succeeds.
+func (p *Path) probe(ctx context.Context) {
+	err := p.callDirect(ctx, func(ctx context.Context, a Access) error {
+		_, _, err := a.Get(ctx, p.ProbeKey)
+		return err
+	})
+	if err != nil {
+		p.Meter.Inc("store_probe_failed")
+	}
+}
+
 // Isolated reports whether neither the store nor any peer was reached for longer
 // than limit.
 func (p *Path) Isolated(limit time.Duration) bool {
--- a/internal/fleet/path/path_test.go
+++ b/internal/fleet/path/path_test.go
@@ -127,6 +127,31 @@
 	})
 }
 
+// TestSilentStoreIsReachedSoonAfterItsReturn checks that the end of an outage in which the
+// store does not respond is noticed within two probes, whenever it ends.
+func TestSilentStoreIsReachedSoonAfterItsReturn(t *testing.T) {
+	for outage := 4 * time.Second; outage < 5*time.Second; outage += 70 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newFixture()
+			defer s.stop()
+			s.world.Link("a", "store").Cut(true)
+			s.world.Link("b", "store").Cut(true)
+			began := time.Now()
+			is.True(s.apply("k1") != nil)
+			_, _, err := s.peerRoute.Get(t.Context(), "k")
+			is.True(err != nil)
+			time.Sleep(outage - time.Since(began))
+			s.world.Link("a", "store").Cut(false)
+			s.world.Link("b", "store").Cut(false)
+			time.Sleep(250 * time.Millisecond)
+			began = time.Now()
+			is.NoErr(s.apply("k2"))
+			is.True(time.Since(began) < 100*time.Millisecond)
+		})
+	}
+}
+
 // slow is a route to the store whose reads block until their context ends while hangs
 // is set.
 type slow struct {
