--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -40,6 +40,11 @@
 	return float64(s.MilliCPU)/1000 + acceleratorCores*float64(s.Accelerators)
 }
 
+// Max returns the larger of s and o for each resource.
+func (s Shape) Max(o Shape) Shape {
+	return Shape{max(s.MilliCPU, o.MilliCPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // ShareOf returns the largest share of a capacity that s takes of any resource.
 func (s Shape) ShareOf(capacity Shape) float64 {
 	share := 0.0
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -153,7 +153,9 @@
 	case ResultFailed:
 		t.applyFailure(w, u, r)
 	case ResultStopped:
-		t.recordStopTime(m, time.Now())
+		if !m.stopSentAt.IsZero() {
+			t.room.recordStop(time.Since(m.stopSentAt))
+		}
 		t.abortRun(u, resultCause(r.Kind))
 	default:
 		t.abortRun(u, resultCause(r.Kind))
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -10,7 +10,6 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
-	"github.com/dogwoodworks/dogwoodworks/internal/decide/demand"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
 )
@@ -79,10 +78,8 @@
 	writeAfter time.Time
 	// jobsRevision is the store revision up to which changes of jobs have been read.
 	jobsRevision int64
-	// urgentDemand tracks the urgent demand of each service, in workers.
-	urgentDemand map[string]*demand.Tracker
-	// stopTime is the mean time until a stopped run is listed as ended; 0 before the first.
-	stopTime time.Duration
+	// room decides how much room is kept for urgent units.
+	room urgentRoom
 	// recentLoad is the load since it was last logged.
 	recentLoad loadStats
 }
@@ -91,7 +88,7 @@
 	return &term{
 		p: p, ctx: ctx, cancel: cancel, revision: revision, valid: valid, startedAt: boottime.Now(), beganAt: time.Now(),
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), live: make(map[string]*job), workers: make(map[string]*worker),
-		unacked: make(map[*worker]bool), urgentDemand: make(map[string]*demand.Tracker), firstRenewals: make(semaphore, maxLimitedRenewals), retryRenewals: make(semaphore, maxLimitedRenewals),
+		unacked: make(map[*worker]bool), firstRenewals: make(semaphore, maxLimitedRenewals), retryRenewals: make(semaphore, maxLimitedRenewals),
 	}
 }
 
