Keep no room for urgent units that have waited longer than the window

Cause: found by reading: an urgent gang that no worker can run, or one that is larger than the fleet, counted as demand for good, so up to 0.4 of the fleet stayed free for it.

Change: a unit that has waited for longer than demandWindow does not count.

Test: TestHopelessUrgentJobKeepsNoRoom: the fourth render of four workers stays queued without the change.

--- a/internal/fleet/planner/room.go
+++ b/internal/fleet/planner/room.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/demand"
-	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
@@ -28,14 +27,14 @@
 	stopTime time.Duration
 }
 
-// observe records the urgent demand in a decision's input and returns the number of
-// workers to keep by service; nil before the first stop.
-func (r *urgentRoom) observe(in *placement.Input, services []string, now time.Time) map[string]float64 {
+// observe records the urgent demand by service, in workers, and returns the number of
+// workers to keep; nil before the first stop.
+func (r *urgentRoom) observe(demands map[string]float64, now time.Time) map[string]float64 {
 	if r.demand == nil {
 		r.demand = make(map[string]*demand.Tracker)
 	}
 	room := make(map[string]float64)
-	for service, needed := range urgentDemand(in, services) {
+	for service, needed := range demands {
 		d := r.demand[service]
 		if d == nil {
 			d = &demand.Tracker{}
@@ -61,22 +60,24 @@
 }
 
 // urgentDemand returns how many workers of each service the urgent units need that run or
-// wait. services has the service of each running unit.
-func urgentDemand(in *placement.Input, services []string) map[string]float64 {
+// wait. A unit that has waited for longer than demandWindow does not count: what it lacks
+// is not room.
+func (v *view) urgentDemand(now time.Time) map[string]float64 {
 	capacity, needed := make(map[string]model.Shape), make(map[string]float64)
-	for i := range in.Workers {
-		w := &in.Workers[i]
+	for i := range v.in.Workers {
+		w := &v.in.Workers[i]
 		capacity[w.Service] = capacity[w.Service].Max(w.Capacity)
 		needed[w.Service] += 0
 	}
-	for i := range in.Running {
-		if r := &in.Running[i]; r.Urgent && !r.Stopping {
-			needed[services[i]] += float64(len(r.Workers)) * r.Shape.ShareOf(capacity[services[i]])
+	for i, u := range v.running {
+		if r := &v.in.Running[i]; r.Urgent && !r.Stopping {
+			service := u.job.queue.Service
+			needed[service] += float64(len(r.Workers)) * r.Shape.ShareOf(capacity[service])
 		}
 	}
-	for i := range in.Waiting {
-		if u := &in.Waiting[i]; u.Urgent {
-			needed[u.Service] += float64(u.Tasks) * u.Shape.ShareOf(capacity[u.Service])
+	for i, u := range v.waiting {
+		if x := &v.in.Waiting[i]; x.Urgent && now.Sub(u.readyAt) < demandWindow {
+			needed[x.Service] += float64(x.Tasks) * x.Shape.ShareOf(capacity[x.Service])
 		}
 	}
 	return needed
@@ -87,9 +88,5 @@
 	if t.p.Disabled[policy.UrgentRoom] {
 		return
 	}
-	services := make([]string, len(v.running))
-	for i, u := range v.running {
-		services[i] = u.job.queue.Service
-	}
-	v.in.UrgentRoom = t.room.observe(&v.in, services, now)
+	v.in.UrgentRoom = t.room.observe(v.urgentDemand(now), now)
 }
