Stop and log no unknown run while the lock may be lost

Cause: a planner that had been cut off logged hundreds of 'stopping unknown run' for the runs of the next term, though sendStop sends none without the lock. The runs still count as occupying their worker.

--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -291,6 +291,10 @@
 		shape = j.spec.Job.Steps[k.task.Step].CountedShape()
 	}
 	w.unknownRuns[k] = shape
+	if !t.valid() {
+		// Another VM may have placed the run.
+		return
+	}
 	t.p.Meter.Inc("run_unknown")
 	t.p.Log.Info("stopping unknown run", "job", k.task.Job, "task", k.task, "run", k.run, "worker", w.id)
 	token, client, timeout := w.token, w.client, orderTimeout+2*w.roundTrip
