--- a/internal/decide/cause/cause.go
+++ b/internal/decide/cause/cause.go
@@ -87,15 +87,6 @@
 	}
 }
 
-// Total returns the sum over all causes.
-func (s *Spent) Total() time.Duration {
-	total := time.Duration(0)
-	for _, d := range s {
-		total += d
-	}
-	return total
-}
-
 // Ledger accounts for the time of one schedulable unit. Its parts add up to the time
 // since Begin. The zero value has not begun.
 type Ledger struct {
--- a/internal/decide/demand/demand.go
+++ b/internal/decide/demand/demand.go
@@ -11,8 +11,8 @@
 // Tracker tracks a demand and its largest recent rise within a given time. The zero value
 // is empty.
 type Tracker struct {
-	// recent are the latest readings, the oldest first, one at least that is not younger
-	// than the time within which a rise counts.
+	// recent are the readings within the time in which a rise counts, the oldest first,
+	// and the last one before it.
 	recent []reading
 	rises  peak
 }
--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -16,8 +16,7 @@
 // sourceLoad is the source of a job that the term read from the store when it began.
 const sourceLoad = "load"
 
-// recordArrival sets the times at which a job was accepted and taken. The time of
-// acceptance is kept on this VM's monotonic clock, since the time of day may jump.
+// recordArrival sets the times at which a job was accepted and taken. The former is kept on this VM's monotonic clock, since the time of day may jump.
 func (t *term) recordArrival(j *job, source string) {
 	now := time.Now()
 	age := max(now.Sub(time.UnixMilli(j.spec.AcceptedMS)), 0)
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -131,12 +131,12 @@
 	t.jobsRevision = revision
 	// A cancellation does not change a job whose terminal state is already persisted, so
 	// the run records are applied before the cancellations.
-	cancelled := t.applySpecs(specs, "load")
+	cancelled := t.applySpecs(specs, sourceLoad)
 	for _, it := range runs {
 		t.restoreRun(it)
 	}
 	for _, id := range cancelled {
-		t.applyCancel(id, "load")
+		t.applyCancel(id, sourceLoad)
 	}
 	// The platform may no longer list a worker on which tasks are placed.
 	for _, j := range t.jobs {
