--- a/internal/bench/rounds/run.go
+++ b/internal/bench/rounds/run.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/bench/variants"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 )
 
@@ -107,12 +108,7 @@
 	cmd := exec.CommandContext(ctx, r.Bench, args...)
 	cmd.Dir = p.build.Repository
 	if b, err := cmd.CombinedOutput(); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "play %s with seed %d: %s", p.day, p.seed, lastLine(b))
+		return nil, fault.Wrap(fault.Internal, err, "play %s with seed %d: %s", p.day, p.seed, variants.LastLine(b))
 	}
 	return ReadReport(path)
 }
-
-func lastLine(b []byte) string {
-	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
-	return lines[len(lines)-1]
-}
--- a/internal/bench/variants/variants.go
+++ b/internal/bench/variants/variants.go
@@ -179,12 +179,13 @@
 	cmd.Dir = p.Repository
 	b, err := cmd.CombinedOutput()
 	if err != nil {
-		return result{}, fault.Wrap(fault.Internal, err, "run day %s of %s: %s", day, site, lastLine(b))
+		return result{}, fault.Wrap(fault.Internal, err, "run day %s of %s: %s", day, site, LastLine(b))
 	}
 	return readResult(string(b)), nil
 }
 
-func lastLine(b []byte) string {
+// LastLine returns the last line of a program's output.
+func LastLine(b []byte) string {
 	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
 	return lines[len(lines)-1]
 }
