Bound the waiting units that a pass explains

Change: 4 steps that began to wait a pass, and 16 others in turn each 0.5 s; the others keep their last cause.

The parts of a job still add up (TestRunProtocol).

--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -9,9 +9,15 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
-// causesInterval is the interval at which the causes of all waiting units are determined
-// again.
-const causesInterval = 500 * time.Millisecond
+const (
+	// causesInterval is the interval at which the causes of waiting units are determined
+	// again, for maxRepeatedCauses steps at a time.
+	causesInterval    = 500 * time.Millisecond
+	maxRepeatedCauses = 16
+	// maxNewCauses bounds the steps that began to wait and whose causes one pass
+	// determines.
+	maxNewCauses = 4
+)
 
 // sourceLoad is the source of a job that the term read from the store when it began.
 const sourceLoad = "load"
@@ -129,22 +135,31 @@
 }
 
 // requestCauses selects the waiting units whose causes the next decision determines: one
-// of each step that began to wait, and at intervals one of every step.
+// of each step that began to wait, and at intervals one of each other step in turn. The
+// bounds keep the cost of a pass independent of the number of steps that wait.
 func (t *term) requestCauses(v *view, now time.Time) {
-	all := now.Sub(t.causesAt) >= causesInterval
-	if all {
-		t.causesAt = now
-	}
+	var began, waiting []int
 	var last stepKey
 	for i, u := range v.waiting {
 		k := stepKey{u.job, u.key.occurrence, u.key.step}
-		if k == last {
+		switch {
+		case k == last:
 			continue
+		case u.ledger.Current() == cause.Plan:
+			began = append(began, i)
+		default:
+			waiting = append(waiting, i)
 		}
 		last = k
-		if all || u.ledger.Current() == cause.Plan {
-			v.in.Explain = append(v.in.Explain, i)
-		}
+	}
+	v.in.Explain = began[:min(len(began), maxNewCauses)]
+	if now.Sub(t.causesAt) < causesInterval {
+		return
+	}
+	t.causesAt = now
+	for range min(len(waiting), maxRepeatedCauses) {
+		t.causesTurn++
+		v.in.Explain = append(v.in.Explain, waiting[t.causesTurn%len(waiting)])
 	}
 }
 
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -68,8 +68,10 @@
 	unacked map[*worker]bool
 	// explainedAt is when the long-waiting units were last logged.
 	explainedAt time.Time
-	// causesAt is when the causes of all waiting units were last determined.
-	causesAt time.Time
+	// causesAt is when the causes of waiting units were last determined again, and
+	// causesTurn counts the steps for which that was done.
+	causesAt   time.Time
+	causesTurn int
 	// suspended reports whether the last scheduling pass found that the lock may be lost.
 	suspended bool
 	// removedRecordsAt is when records of ended jobs were last removed.
