--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -358,49 +358,57 @@
 // waitingGang hands in a gang that must wait for tasks that last, and then small jobs.
 func waitingGang(f *fleet, trouble bool) int {
 	const (
-		first, second, width, victims = 19, 4, 29, 4
-		finish                        = 14 * time.Second
+		gangTasks, smallJobs = 29, 10
+		// finish is finish_s.
+		finish  = 14 * time.Second
+		watched = 30 * time.Second
 	)
-	lasting := func(count, estimate int) bool {
-		return f.submit(0, prefixes[1]+jobID(), object{"specification": "lasts", "steps": []object{{
-			"count": count, "cpu": 100000, "requested_memory_mb": 400000, "gpu": runnerGPU, "estimated_ms": estimate, "long_running": true,
-		}}})
-	}
-	if !lasting(first, 3600000) || !lasting(second, 2000) {
+	var steps []object
+	for _, s := range []struct {
+		rack  string
+		tasks int
+	}{{"r1-3", 8}, {"r1-4", 8}, {"r1-5", 7}} {
+		steps = append(steps, object{
+			"count": s.tasks, "cpu": 100000, "requested_memory_mb": 400000, "gpu": runnerGPU, "estimated_ms": 2000, "long_running": true, "affinity": s.rack,
+		})
+	}
+	if !f.submit(0, prefixes[1]+jobID(), object{"specification": "lasts", "steps": steps}) {
 		return statusUnrun
 	}
-	time.Sleep(4 * time.Second)
-	if trouble {
-		if !f.submit(1, prefixes[1]+jobID(), object{"specification": "work 7000 7000", "steps": []object{{
-			"count": width, "cpu": 100000, "requested_memory_mb": 400000, "gpu": runnerGPU, "estimated_ms": 7000, "gang": true,
-		}}}) {
-			return statusUnrun
-		}
-		time.Sleep(time.Second)
+	time.Sleep(5 * time.Second)
+	f.log.printf("%d of %d runners have no work", f.idle(), runners)
+	if trouble && !f.submit(1, prefixes[1]+jobID(), object{"specification": "work 10000 10000", "steps": []object{{
+		"count": gangTasks, "cpu": 100000, "requested_memory_mb": 400000, "gpu": runnerGPU, "estimated_ms": 10000, "gang": true,
+	}}}) {
+		return statusUnrun
 	}
+	time.Sleep(time.Second)
 	var ids []string
-	for i := range victims {
+	for i := range smallJobs {
 		id := jobID()
 		ids = append(ids, id)
-		if !f.submit(i, prefixes[2]+id, object{"specification": "work 2000 2000", "steps": []object{
-			{"count": 1, "cpu": 10000, "requested_memory_mb": 8000, "gpu": 1, "estimated_ms": 2000},
+		if !f.submit(i, prefixes[2]+id, object{"specification": "work 7600 7600", "steps": []object{
+			{"count": 1, "cpu": 11000, "requested_memory_mb": 59000, "gpu": 1, "estimated_ms": 7600},
 		}}) {
 			return statusUnrun
 		}
 	}
+	handedIn := time.Now()
 	time.Sleep(finish)
 	least := runners
-	for range 300 {
+	for time.Since(handedIn) < finish+watched {
 		time.Sleep(100 * time.Millisecond)
 		least = min(least, f.idle())
 	}
 	waiting := 0
-	for _, id := range ids {
+	for i, id := range ids {
 		if began, _ := f.judge.count(id); began == 0 {
 			waiting++
 		}
+		f.state(i, prefixes[2]+id)
 	}
-	f.log.printf("%d of %d small jobs have not begun 44 s after they were accepted; at least %d of %d runners had no work", waiting, victims, least, runners)
+	f.log.printf("%d of %d small jobs have not begun %.0f s after they were handed in; at least %d of %d runners had no work in the last %.0f s",
+		waiting, smallJobs, time.Since(handedIn).Seconds(), least, runners, watched.Seconds())
 	if waiting > 0 && 2*least > runners {
 		f.log.printf("LOST: jobs have nothing running, though over half of the runners have no work")
 		return statusBroken
