Review case 4: a job's record outgrows what the store holds in one value

Cause, as far as read: the whole state of a job, with a record for each lost run, is one value; nothing bounds it by value_bytes, and a refusal of the store for its size is taken for an outage. Seen: 8 of 48 runners crash behind a cut under a job of 6,000 tasks; its record grows from 0.85 to 1.6 MB, the store answers 400, and thousands of tasks never start again, though no runner has work.

--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -114,6 +114,25 @@
 	_ = x.server.Close()
 }
 
+// crashBehindCut cuts the runner off, ends its process, and starts another one when the cut heals.
+func (x *runner) crashBehindCut(after time.Duration) {
+	x.setCut(true)
+	x.mu.Lock()
+	x.up = false
+	for _, r := range x.running {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		x.judge.ended(r.task, r.number, "crash")
+	}
+	x.running = make(map[string]*run)
+	x.mu.Unlock()
+	time.Sleep(after)
+	_ = x.server.Close()
+	x.start()
+	x.setCut(false)
+}
+
 // leave drains the runner, which then ends and is removed for good.
 func (x *runner) leave(after time.Duration) {
 	x.mu.Lock()
