Decide on unlisted runs only when a worker has listed all its results

A worker lists at most 500 results in one response. A run in neither list was taken for lost although its result could follow in the next response; the same for runs that were stopped and for those of an earlier term, and failures beyond the 500th were not counted as attempts. Evidence: 140 "run lost" lines with reason "not listed", none with "lease over", no change of the planner.

While the list of results is full, unlisted runs stay undecided. This works as the listed results are acknowledged once they are persisted, and the next response has the rest.

The random schedules list 1, 2 or 500 results at a time.

--- a/internal/fleet/planner/export_test.go
+++ b/internal/fleet/planner/export_test.go
@@ -25,4 +25,5 @@
 	"token":                   func(p *Planner) { p.disabled.tokenPerTerm = true },
 	"wait for lease expiry":   func(p *Planner) { p.disabled.waitForLeaseExpiry = true },
 	"persist result first":    func(p *Planner) { p.disabled.persistResultFirst = true },
+	"await all results":       func(p *Planner) { p.disabled.awaitAllResults = true },
 }
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -251,21 +251,42 @@
 		t.stopUnknownRun(w, k)
 	}
 	t.checkSlow(w)
+	w.listedResults = len(report.Results)
+	undecided := 0
 	for _, m := range w.sorted() {
 		if listed[runKey{m.task(), m.run}] || !m.startSent {
 			continue
 		}
-		switch {
-		case m.startAckedAt != 0 && sentAt >= m.startAckedAt:
-			t.applyRunLost(w, m, "not listed")
-		case m.stopAckedAt != 0 && sentAt >= m.stopAckedAt:
-			t.applyRunLost(w, m, "stopped before it began")
-		case m.token < o.Token && !m.startInFlight:
-			t.applyRunLost(w, m, "can't begin any more")
-		case m.stopping:
+		reason := m.unlistedReason(o, sentAt)
+		if reason != "" && (!report.MoreResults || t.p.disabled.awaitAllResults) {
+			t.applyRunLost(w, m, reason)
+			continue
+		}
+		if reason != "" {
+			undecided++
+		}
+		if m.stopping {
 			t.stop(m)
 		}
 	}
+	if undecided > 0 {
+		t.p.Meter.Inc("results_awaited")
+		t.p.Log.Info("further run results awaited", "worker", w.id, "results_listed", w.listedResults, "last", w.lastResult, "runs_undecided", undecided)
+	}
+}
+
+// unlistedReason returns why a run that the response to a renewal does not list as running
+// can't be running, nor begin; "" if it may.
+func (m *member) unlistedReason(o LeaseRenewal, sentAt boottime.Time) string {
+	switch {
+	case m.startAckedAt != 0 && sentAt >= m.startAckedAt:
+		return "not listed"
+	case m.stopAckedAt != 0 && sentAt >= m.stopAckedAt:
+		return "stopped before it began"
+	case m.token < o.Token && !m.startInFlight:
+		return "can't begin any more"
+	}
+	return ""
 }
 
 // applyRunning applies the report of a running task.
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -322,7 +322,7 @@
 	}
 	t.p.Meter.Inc("run_lost")
 	t.p.Log.Warn("run lost", "job", u.job.id, "task", m.task(), "run", m.run, "worker", w.id, "reason", reason,
-		"answered", m.startAckedAt != 0, "adopted", m.adopted, "shared", m.shared)
+		"answered", m.startAckedAt != 0, "adopted", m.adopted, "shared", m.shared, "results_listed", w.listedResults)
 	t.dropMember(w, m)
 	if m.checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = m.checkpoint
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -73,6 +73,9 @@
 	// restartCheck: a start without a response is not repeated to a worker that may have
 	// restarted.
 	restartCheck bool
+	// awaitAllResults: a run that is not listed counts as lost only if the worker has listed
+	// all its results.
+	awaitAllResults bool
 }
 
 // RunTerm plans for one term. It returns when ctx is cancelled or when the term cannot
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -23,7 +23,9 @@
 // runScheduleWith is runSchedule with a function that prepares the fleet; nil for none.
 func runScheduleWith(t *testing.T, seed uint64, disable func(p *planner.Planner), prepare func(f *testFleet)) (violations []string) {
 	bubble(t, func(t *testing.T) {
-		fleet := newTestFleet(t, seed, 2+int(seed%4))
+		bounds := testBounds
+		bounds.ListedResults = int(seed % 3)
+		fleet := newTestFleetWith(t, seed, 2+int(seed%4), bounds)
 		fleet.configure, fleet.statusRetention = disable, 20*time.Second
 		defer fleet.close()
 		if prepare != nil {
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -214,6 +214,8 @@
 	// are those in between.
 	lastResult, lastPersistedResult int64
 	pendingResults                  []pendingResult
+	// listedResults is the number of run results in the last report.
+	listedResults int
 	members                         map[runKey]*member
 	// sortedMembers caches the result of sorted; nil after a change of members.
 	sortedMembers []*member
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -92,6 +92,9 @@
 	Incarnation int64
 	Running     []RunReport
 	Results     []RunResult
+	// MoreResults reports that the worker may have further results, which it lists once
+	// these are acknowledged.
+	MoreResults bool
 }
 
 // WorkerClient sends orders to one worker.
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -25,6 +25,17 @@
 	// RemoteFactor multiplies the runtime of a same-rack gang that is placed on
 	// several racks; 0 means 1.
 	RemoteFactor float64
+	// ListedResults is the number of run results that a worker lists in one
+	// response; 0 means 500.
+	ListedResults int
+}
+
+// listedResults returns ListedResults or its default.
+func (b Bounds) listedResults() int {
+	if b.ListedResults == 0 {
+		return 500
+	}
+	return b.ListedResults
 }
 
 // rack returns the rack of a worker by its number.
@@ -304,7 +315,10 @@
 	}
 	x.extendLease(o.Deadline)
 	w.acknowledgeResults(x, o.LastAcknowledged)
-	rep := planner.WorkerReport{Clock: x.clock(), Incarnation: x.incarnation, Results: append([]planner.RunResult(nil), x.results...)}
+	rep := planner.WorkerReport{Clock: x.clock(), Incarnation: x.incarnation}
+	limit := w.Bounds.listedResults()
+	rep.Results = append(rep.Results, x.results[:min(len(x.results), limit)]...)
+	rep.MoreResults = len(rep.Results) == limit
 	for _, r := range x.sorted() {
 		rep.Running = append(rep.Running, planner.RunReport{Task: r.task, Run: r.run, Checkpoint: r.savedCheckpoint, Percent: x.percent(r)})
 	}
