--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -216,7 +216,7 @@
 	pendingResults                  []pendingResult
 	// listedResults is the number of run results in the last report.
 	listedResults int
-	members                         map[runKey]*member
+	members       map[runKey]*member
 	// sortedMembers caches the result of sorted; nil after a change of members.
 	sortedMembers []*member
 	// unknownRuns are the runs that the worker lists and that are not placed on it in
