Read a page of records again beside a reading without a response

Callers saw jobs of a whole fleet with nothing running for over 7 s beside free workers, and then go on (LOST). All VMs asked one for states that answered "this VM is not the planner".

A VM that gets the planner lock reads all records before it places anything. It waited for each page for up to 8 s: one response that the store lost, or a connection that went silent, and the VM kept the lock for 8 s, renewed it and did nothing; then its term ended and the next one began anew. One refused reading ended the term as well.

Beside a reading whose response has not begun after 1 s another one begins, at most 4; after 4 s also beside one that has begun; a failed one is repeated. So a slow link carries no second copy of a page that arrives.

--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -48,6 +48,8 @@
 
 	mu   sync.Mutex
 	term *term
+	// loading reports whether this VM owns the lock and reads the records of its term.
+	loading bool
 	// accountQueues are the queues that have histograms of their own.
 	accountQueues map[string]bool
 }
@@ -92,6 +94,8 @@
 	}
 	t := newTerm(ctx, cancel, p, l.Revision, valid)
 	p.Log.Info("planner term begins", "term", l.Revision)
+	p.setLoading(true)
+	defer p.setLoading(false)
 	var err error
 	if panicked := duty.Run(p.Log, p.Meter, "load", func() { err = t.loadRecords() }); panicked != nil {
 		err = panicked
@@ -100,6 +104,7 @@
 		p.Log.Warn("planner term ends", "term", l.Revision, "reason", "the store could not be read", "error", err)
 		return
 	}
+	p.setLoading(false)
 	p.setTerm(t)
 	defer p.setTerm(nil)
 	t.run()
@@ -154,13 +159,24 @@
 	p.Meter.Set("planner_active", active)
 }
 
-// currentTerm returns the current term, or a NotReady error if this VM is not the
+func (p *Planner) setLoading(loading bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loading = loading
+}
+
+// currentTerm returns the current term, or a NotReady error if this VM can't answer for the
 // planner.
 func (p *Planner) currentTerm() (*term, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.term == nil || p.term.ctx.Err() != nil || !p.term.valid() {
+	switch {
+	case p.loading:
+		return nil, fault.New(fault.NotReady, "this VM is to be the planner and still reads the records")
+	case p.term == nil || p.term.ctx.Err() != nil:
 		return nil, fault.New(fault.NotReady, "this VM is not the planner")
+	case !p.term.valid():
+		return nil, fault.New(fault.NotReady, "this VM is the planner, but can't renew its lock")
 	}
 	return p.term, nil
 }
--- a/internal/fleet/planner/sizes.go
+++ b/internal/fleet/planner/sizes.go
@@ -69,13 +69,6 @@
 	return all
 }
 
-// readSizes reads the record of the sizes.
-func (t *term) readSizes() (it store.Item, found bool, err error) {
-	ctx, cancel := context.WithTimeout(t.ctx, pageTimeout)
-	defer cancel()
-	return t.p.Store.Get(ctx, store.SizesKey)
-}
-
 // restoreSizes applies the record of the sizes. A malformed one is replaced.
 func (t *term) restoreSizes(it store.Item) {
 	if err := t.sizes.restore(it); err != nil {
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -18,10 +17,6 @@
 const (
 	// planInterval is the longest interval between two scheduling passes.
 	planInterval = 100 * time.Millisecond
-	// pageTimeout bounds the reading of one page of records. There is no bound for all
-	// pages: their number grows with the number of jobs, and on a slow link so does their
-	// time. If the lock is lost meanwhile, the term ends.
-	pageTimeout = 8 * time.Second
 	// tokenShift is the number of low bits of a token that count its increments for one
 	// worker; the lock's revision is in the bits above.
 	tokenShift = 16
@@ -129,20 +124,15 @@
 // loadRecords reads the jobs and the run records from the store and attaches the placed
 // tasks to their workers.
 func (t *term) loadRecords() error {
-	var sizes store.Item
-	var found bool
-	var sizesErr error
-	var wg sync.WaitGroup
-	wg.Go(func() { sizes, found, sizesErr = t.readSizes() })
-	specs, revision, runs, err := t.readRecords()
-	wg.Wait()
-	if err = cmp.Or(err, sizesErr); err != nil {
+	specs, revision, runs, sizes, err := t.readRecords()
+	t.p.Log.Info("job and run records read", "term", t.revision, "jobs", len(specs), "runs", len(runs), "took_ms", boottime.Since(t.startedAt).Milliseconds())
+	if err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if found {
-		t.restoreSizes(sizes)
+	for _, it := range sizes {
+		t.restoreSizes(it)
 	}
 	t.jobsRevision = revision
 	// A cancellation does not change a job whose terminal state is already persisted, so
@@ -161,30 +151,6 @@
 	return nil
 }
 
-// readRecords reads the jobs and the run records concurrently, which is safe because only
-// this term writes run records.
-func (t *term) readRecords() (specs []store.Item, jobsRevision int64, runs []store.Item, err error) {
-	var runsErr error
-	var wg sync.WaitGroup
-	wg.Go(func() { specs, jobsRevision, err = t.readAll(store.JobPrefix) })
-	wg.Go(func() { runs, _, runsErr = t.readAll(store.RunPrefix) })
-	wg.Wait()
-	if err == nil {
-		err = runsErr
-	}
-	t.p.Log.Info("job and run records read", "term", t.revision, "jobs", len(specs), "runs", len(runs), "took_ms", boottime.Since(t.startedAt).Milliseconds())
-	return specs, jobsRevision, runs, err
-}
-
-// readAll reads all records below a prefix.
-func (t *term) readAll(prefix string) ([]store.Item, int64, error) {
-	return store.ReadPages(t.ctx, prefix, func(ctx context.Context, prefix, after string) (store.Page, error) {
-		ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-		defer cancel()
-		return t.p.Store.Page(ctx, prefix, after)
-	})
-}
-
 // restoreRun restores a job's state from the run record that earlier terms wrote.
 func (t *term) restoreRun(it store.Item) {
 	id := it.Key[len(store.RunPrefix):]
--- a/internal/standin/world/link.go
+++ b/internal/standin/world/link.go
@@ -34,6 +34,8 @@
 	extraLatency time.Duration
 	// resume is closed when a paused link is resumed; nil when it is not paused.
 	resume chan struct{}
+	// lostPages is the number of the next readings of pages that get no response.
+	lostPages int
 	// lateCalls counts the late calls that have not been executed yet.
 	lateCalls *sync.WaitGroup
 }
@@ -62,6 +64,24 @@
 	l.extraLatency = d
 }
 
+// LosePages loses the responses to the next n readings of a page of the store.
+func (l *Link) LosePages(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lostPages = n
+}
+
+// losesPage reports whether the response to a reading of a page is lost.
+func (l *Link) losesPage() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lostPages == 0 {
+		return false
+	}
+	l.lostPages--
+	return true
+}
+
 // Cut blocks the link or restores it. Calls on a blocked link time out.
 func (l *Link) Cut(cut bool) {
 	l.mu.Lock()
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -305,6 +305,10 @@
 
 // Page implements store.Store; a page contains all items.
 func (v *View) Page(ctx context.Context, prefix, after string) (store.Page, error) {
+	if v.Link.losesPage() {
+		<-ctx.Done()
+		return store.Page{}, fault.Wrap(fault.StoreUnavailable, ctx.Err(), "no response")
+	}
 	all, at, err := v.Range(ctx, prefix)
 	for len(all) > 0 && all[0].Key <= after {
 		all = all[1:]
