Reserve no workers for a gang until tasks that last have ended

A task that lasts has an estimate, and once that was over it was taken to end 0.2 s later, in every pass. So the gang's reservation began in 0.2 s, and nothing that runs longer could start on a reserved worker. The same holds for a run that has overrun its estimate and reports no progress.

A task that lasts has no expected end, and a reservation rests on runs with one only. A run that has overrun its estimate is expected to take as long again as it has overrun it, so short work may start in the meantime.

TestGangThatWaitsForLastingTasksLeavesWorkersToOthers failed before (one of four jobs started after 4.95 s). testdata: no_reservation_on_lasting, reservation_beside_lasting (the second failed with the new ends alone).

--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sort"
 
@@ -175,14 +176,17 @@
 
 // reserve reserves the workers on which a blocked unit is expected to fit
 // first: only units that end before then may still start there. It reports
-// whether there are such workers.
+// whether there are such workers. A unit that waits for units whose end nothing
+// bounds gets no reservation, since others would wait with it.
 func (p *plan) reserve(u *Unit) bool {
 	if p.in.Disabled[policy.Reservations] {
 		return false
 	}
 	byEnd := make([]int, 0, len(p.in.Running))
 	for r := range p.in.Running {
-		byEnd = append(byEnd, r)
+		if !math.IsInf(p.in.Running[r].EndsIn, 1) {
+			byEnd = append(byEnd, r)
+		}
 	}
 	sort.SliceStable(byEnd, func(a, b int) bool { return p.in.Running[byEnd[a]].EndsIn < p.in.Running[byEnd[b]].EndsIn })
 	futureFree := append([]model.Shape(nil), p.availableSoon...)
--- a/internal/decide/placement/script_test.go
+++ b/internal/decide/placement/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -30,7 +31,9 @@
 		On                                  []string
 		Shape                               [3]int64
 		Urgent, Guaranteed, Stopping, Fixed bool
-		Loss, EndsIn                        float64
+		// Lasting units have no end.
+		Lasting      bool
+		Loss, EndsIn float64
 	}
 	Waiting []struct {
 		Tasks                        int
@@ -85,6 +88,9 @@
 			Shape: shape(r.Shape), Workers: at(r.On), Urgent: r.Urgent, Guaranteed: r.Guaranteed, Stopping: r.Stopping, NotPreemptible: r.Fixed,
 			DiscardedWork: r.Loss, EndsIn: r.EndsIn,
 		}
+		if r.Lasting {
+			x.EndsIn = math.Inf(1)
+		}
 		for _, w := range x.Workers {
 			in.Workers[w].Free = in.Workers[w].Free.Minus(x.Shape)
 		}
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -159,9 +160,13 @@
 	return r
 }
 
-// expectedRemaining returns the expected time until a running unit ends, in seconds. If
-// estimateOnly is set, it disregards the unit's progress.
+// expectedRemaining returns the expected time until a running unit ends, in seconds;
+// infinite for a long-running one. One that has overrun its estimate is expected to take as
+// long again as it has overrun it. If estimateOnly is set, it disregards the unit's progress.
 func (u *unit) expectedRemaining(elapsed float64, estimateOnly bool) float64 {
+	if u.step().LongRunning {
+		return math.Inf(1)
+	}
 	percent := 100.0
 	for _, m := range u.members {
 		percent = min(percent, m.percent)
@@ -169,7 +174,8 @@
 	if percent >= 10 && percent < 100 && elapsed > 1 && !estimateOnly {
 		return max(elapsed*(100-percent)/percent, minRemaining)
 	}
-	return max(u.step().Estimate.Seconds()-elapsed, minRemaining)
+	overrun := elapsed - u.step().Estimate.Seconds()
+	return max(-overrun, overrun, minRemaining)
 }
 
 // waitingStep holds the waiting units of one occurrence of a step, in the order in which
