Bound the wait for a rack, a reservation or a closed worker

Callers saw jobs with nothing running beside free workers (LOST), many of one service at once: all units that wait for the same rack, for the workers that a gang has reserved, or for workers that are closed.

Causes, by the new fields of 'unit waits' in 72 jobs of 52 failing random schedules: the rack of 'affinity', or one rack for a gang, acts as a requirement while it is full of tasks that last (cause no_capacity, all workers open); workers closed after failures, up to 32 s and also all at once, as hopeless jobs close sound workers (closed_workers); reservations (reserved). Each of these rules is right for a while and nothing bounded it. Ruled out there: capacities that are not known, slow workers, workers that are not reached (all counts 0).

--- /dev/null
+++ b/internal/decide/placement/overdue.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
+)
+
+// A rack, a reservation, a closed worker and a worker on which a unit failed are reasons to
+// wait for better capacity. None of them has an end that is certain, so an overdue unit
+// does not wait for them beside free capacity.
+
+const (
+	// overdueUsedShare is the share of a service's capacity in use from which overdue units
+	// wait, except long-running ones.
+	overdueUsedShare = 0.5
+	// overdueRoom is how many times a unit must fit in the free capacity.
+	overdueRoom = 2
+)
+
+// relaxation is what a search for capacity disregards.
+type relaxation int
+
+const (
+	// relaxPreferences disregards racks, reservations and what is kept for urgent units.
+	relaxPreferences relaxation = iota + 1
+	// relaxClosed also disregards that workers are closed.
+	relaxClosed
+	// relaxFailed also disregards where the unit failed.
+	relaxFailed
+)
+
+// startOverdue starts overdue units that were not decided on, disregarding as little as
+// possible.
+func (p *plan) startOverdue() {
+	decided := make(map[int]bool, len(p.out.Starts)+len(p.out.Nominations))
+	for _, a := range slices.Concat(p.out.Starts, p.out.Nominations) {
+		decided[a.Unit] = true
+	}
+	defer func() { p.relaxed = 0 }()
+	for i := range p.in.Waiting {
+		u := &p.in.Waiting[i]
+		if !u.Overdue || decided[i] || !p.hasRoomForOverdue(u) {
+			continue
+		}
+		anywhere := *u
+		anywhere.Rack, anywhere.SameRack = "", false
+		for p.relaxed = relaxPreferences; p.relaxed <= relaxFailed; p.relaxed++ {
+			if ws := p.findWorkers(&anywhere, p.free, false); ws != nil {
+				p.start(i, ws)
+				p.out.Overdue = append(p.out.Overdue, i)
+				break
+			}
+		}
+	}
+}
+
+// hasRoomForOverdue reports whether an overdue unit must not wait: the free capacity of the
+// workers that accept orders suffices for it overdueRoom times and, unless it is
+// long-running, less than overdueUsedShare of its service's capacity is in use.
+func (p *plan) hasRoomForOverdue(u *Unit) bool {
+	var capacity, free model.Shape
+	fits := 0
+	for w := range p.in.Workers {
+		x := &p.in.Workers[w]
+		if x.Service != u.Service {
+			continue
+		}
+		capacity, free = capacity.Plus(x.Capacity), free.Plus(p.free[w])
+		if x.Reachable && x.hasLabel(u.Label) {
+			fits += countFits(u.Shape, p.free[w], overdueRoom*u.Tasks)
+		}
+	}
+	return fits >= overdueRoom*u.Tasks && (u.LongRunning || capacity.Minus(free).ShareOf(capacity) < overdueUsedShare)
+}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -25,8 +25,9 @@
 	// nor of unknown use.
 	Capacity model.Shape
 	Free     model.Shape
-	// Schedulable workers accept new work.
-	Schedulable bool
+	// Reachable workers accept orders, and Schedulable ones also get new work: they are
+	// not closed.
+	Reachable, Schedulable bool
 }
 
 // Unit is a waiting gang, or one waiting task of a step that is no gang.
@@ -37,7 +38,8 @@
 	// Shape is what each task occupies.
 	Shape    model.Shape
 	SameRack bool
-	// Rack is the rack in which the tasks must run; empty for any rack.
+	// Rack is the rack in which the tasks must run unless the unit is overdue;
+	// empty for any rack.
 	Rack  string
 	Label string
 	// PerWorker bounds the tasks of the step on one worker; 0 for no bound.
@@ -49,6 +51,13 @@
 	// Avoid has the indices of the workers on which the unit must not start;
 	// nil for none.
 	Avoid map[int]bool
+	// AvoidFailed has the indices of the workers on which the unit failed and
+	// starts only if it is overdue; nil for none.
+	AvoidFailed map[int]bool
+	// Overdue units must not wait any longer beside free capacity.
+	Overdue bool
+	// LongRunning units run until their job is cancelled.
+	LongRunning bool
 	// Urgent units may pre-empt running units that are neither urgent nor
 	// guaranteed.
 	Urgent bool
@@ -76,7 +85,8 @@
 	Stopping bool
 	// NotPreemptible units can't be stopped.
 	NotPreemptible bool
-	// EndsIn is the expected time until the unit ends, in seconds.
+	// EndsIn is the expected time until the unit ends, in seconds; infinite if
+	// nothing bounds it.
 	EndsIn float64
 }
 
@@ -114,6 +124,8 @@
 	Nominations []Assignment
 	// Stops are indices of Input.Running.
 	Stops []int
+	// Overdue has the units among Starts that started since they were overdue.
+	Overdue []int
 	// Reasons says why units wait, by their index in Input.Waiting.
 	Reasons map[int]cause.Cause
 }
@@ -161,7 +173,10 @@
 	// useKept and useClosed make workers eligible that are kept for urgent units, and
 	// those that accept no new work, to explain why a unit waits.
 	useKept, useClosed bool
-	out                Decision
+	// relaxed is what the search for capacity for an overdue unit disregards; 0 for
+	// nothing.
+	relaxed relaxation
+	out     Decision
 }
 
 // rack is a rack with its workers. reclaimable is the number of accelerators
@@ -222,6 +237,7 @@
 			p.process(i)
 		}
 	}
+	p.startOverdue()
 	p.explain()
 	return p.out
 }
@@ -351,7 +367,7 @@
 // is no larger already found no capacity in this call. Free capacity only
 // shrinks during a call.
 func (p *plan) isBlocked(u *Unit) bool {
-	if u.PerWorker > 0 || u.Avoid != nil || u.Tasks == 1 && u.Urgent {
+	if u.PerWorker > 0 || u.avoidsWorkers() || u.Tasks == 1 && u.Urgent {
 		return false
 	}
 	b, ok := p.blocked[constraintsOf(u)]
@@ -359,8 +375,11 @@
 	return ok && b.shape.Fits(u.Shape) && (u.Tasks == 1 || u.Runtime >= b.runtime)
 }
 
+// avoidsWorkers reports whether a unit avoids workers on which others may start.
+func (u *Unit) avoidsWorkers() bool { return u.Avoid != nil || u.AvoidFailed != nil }
+
 func (p *plan) recordBlocked(u *Unit) {
-	if u.PerWorker == 0 && u.Avoid == nil {
+	if u.PerWorker == 0 && !u.avoidsWorkers() {
 		p.blocked[constraintsOf(u)] = blockedUnit{u.Shape, u.Runtime}
 	}
 }
--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -15,7 +15,7 @@
 func (p *plan) clear(i int) bool {
 	u := &p.in.Waiting[i]
 	key := preemptionKey{constraintsOf(u), u.Shape, u.Guaranteed}
-	cacheable := u.PerWorker == 0 && u.Avoid == nil
+	cacheable := u.PerWorker == 0 && !u.avoidsWorkers()
 	if cacheable && p.preemptionFailed[key] {
 		return false
 	}
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -11,10 +11,15 @@
 // empty.
 func (p *plan) eligible(u *Unit, w int) bool {
 	x := &p.in.Workers[w]
-	return (x.Schedulable || p.useClosed) && x.Service == u.Service && !u.Avoid[w] && u.Shape.Fits(x.Capacity) &&
-		(p.useKept || p.mayUse(u, w)) && (u.Rack == "" || u.Rack == x.Rack) && (u.Label == "" || slices.Contains(x.Labels, u.Label))
+	open := x.Schedulable || p.useClosed || p.relaxed >= relaxClosed && x.Reachable
+	avoided := u.Avoid[w] || u.AvoidFailed[w] && p.relaxed < relaxFailed
+	return open && x.Service == u.Service && !avoided && u.Shape.Fits(x.Capacity) &&
+		(p.useKept || p.relaxed > 0 || p.mayUse(u, w)) && (u.Rack == "" || u.Rack == x.Rack) && x.hasLabel(u.Label)
 }
 
+// hasLabel reports whether a worker has a label; every worker has the empty one.
+func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
 // findWorkers returns a worker for each task of a unit, or nil if the free
 // capacity does not suffice. Of the groups where the unit fits it chooses the
 // one with the least free capacity.
--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -43,7 +43,7 @@
 	if !u.readyAt.IsZero() {
 		return
 	}
-	u.readyAt = now
+	u.readyAt, u.waitingSince = now, now
 	at := u.job.takenAt
 	if u.job.spec.Job.Occurrences > 0 {
 		if due := now.Add(-now.Sub(u.job.dueAt(u.key.occurrence))); due.After(at) {
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -354,7 +354,8 @@
 	if len(u.members) == 0 {
 		u.members, u.aborting = nil, false
 		if u.isWaiting() {
-			u.ledger.Switch(cause.Plan, time.Now())
+			u.waitingSince = time.Now()
+			u.ledger.Switch(cause.Plan, u.waitingSince)
 		}
 	}
 }
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -89,8 +89,10 @@
 	nominated   []string
 	nominatedAt time.Time
 	// readyAt is when the unit could first start; zero before that.
-	readyAt  time.Time
-	placedAt time.Time
+	readyAt time.Time
+	// waitingSince is when the unit began to wait for its next run.
+	waitingSince time.Time
+	placedAt     time.Time
 	// ledger accounts for the time from readyAt until doneAt.
 	ledger cause.Ledger
 	doneAt time.Time
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -30,6 +30,8 @@
 	isolated, apart map[*unit]bool
 	isolatedWorkers []int
 	placedOn        map[int][]*unit
+	// overdue are the jobs with nothing running of which a waiting unit is overdue.
+	overdue map[*job]bool
 	// probation counts the suspected units by job.
 	probation map[*job]probation
 }
@@ -43,7 +45,7 @@
 func (t *term) view(now time.Time) *view {
 	v := &view{
 		workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string]bool), isolated: make(map[*unit]bool),
-		apart: make(map[*unit]bool), placedOn: make(map[int][]*unit), probation: t.countProbation(),
+		apart: make(map[*unit]bool), placedOn: make(map[int][]*unit), overdue: make(map[*job]bool), probation: t.countProbation(),
 	}
 	v.in.Reservations, v.in.Disabled = maxReservations, t.p.Disabled
 	v.in.Workers = make([]placement.Worker, 0, len(v.workers))
@@ -53,10 +55,11 @@
 		if w.isIsolated() {
 			v.isolatedWorkers = append(v.isolatedWorkers, i)
 		}
+		reachable := w.responded && t.knowsCapacity(w, 2*orderTimeout) && !w.unresponsive && !w.info.Draining
 		v.in.Workers = append(v.in.Workers, placement.Worker{
 			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.occupied()),
-			Schedulable: w.responded && t.knowsCapacity(w, 2*orderTimeout) && !w.unresponsive && !w.info.Draining && !now.Before(w.closedUntil) && !now.Before(w.slowUntil),
+			Reachable: reachable, Schedulable: reachable && !now.Before(w.closedUntil) && !now.Before(w.slowUntil),
 		})
 	}
 	t.markGuaranteed()
@@ -207,7 +210,9 @@
 			}
 			t.markReady(u, now)
 			v.waiting = append(v.waiting, u)
-			v.in.Waiting = append(v.in.Waiting, t.waitingInput(v, u, now))
+			in := t.waitingInput(v, u, now)
+			in.Overdue = v.markOverdue(u, now)
+			v.in.Waiting = append(v.in.Waiting, in)
 		}
 	}
 }
@@ -297,7 +302,7 @@
 	in := placement.Unit{
 		Service: u.job.queue.Service, Tasks: u.tasks(), Shape: s.CountedShape(), SameRack: s.SameRack, Label: s.Label,
 		PerWorker: s.PerWorker, Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
-		Runtime: s.Estimate.Seconds(),
+		Runtime: s.Estimate.Seconds(), LongRunning: s.LongRunning,
 	}
 	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > anyRackAge && !t.p.Disabled[policy.LeaveRack] {
 		in.SameRack = false
@@ -308,7 +313,7 @@
 	if s.PerWorker > 0 {
 		in.StepTasks = v.tasksPerWorker(u)
 	}
-	in.Avoid = t.failedOn(v, u, now)
+	in.AvoidFailed = t.failedOn(v, u, now)
 	if u.nominated != nil && now.Sub(u.nominatedAt) < nominationTime && !t.p.Disabled[policy.Nomination] {
 		in.Nominated = v.workerIndices(u.nominated)
 	}
