Judge in the soak whether work waits beside free workers

The users' runs of real processes broke LOST with work that waits beside room, and our soak could not see it: it did not judge the rule, its workers registered once and without a clock, and its settings had neither stable_window_ms nor a heartbeat interval, so capacities were always known.

Workers now send heartbeats, a fourth caller submits tasks that last, large gangs, tasks and gangs with a rack and jobs that can't be done, there are 12 workers in three racks instead of 6, and world.Progress judges from the moment all faults are healed.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -110,6 +110,8 @@
 	queue   model.Queue
 	step    model.Step
 	runtime time.Duration
+	// fails says that each run of the job fails.
+	fails bool
 }
 
 func randomJob(rng *rand.Rand, id string) callerJob {
@@ -130,6 +132,7 @@
 	b, err := json.Marshal(object{"specification": j.specification(), "steps": []object{{
 		"count": j.step.Tasks, "cpu": j.step.Shape.MilliCPU, "requested_memory_mb": j.step.Shape.MemoryMB, "gpu": j.step.Shape.Accelerators,
 		"estimated_ms": j.step.Estimate.Milliseconds(), "gang": j.step.Gang,
+		"same_rack": j.step.SameRack, "affinity": j.step.Rack, "long_running": j.step.LongRunning,
 	}}})
 	if err != nil {
 		panic(err)
@@ -146,7 +149,7 @@
 // submit submits a job, up to submitAttempts times until it is accepted. It
 // returns the time of the acceptance, or the zero time if there was none.
 func (c *caller) submit(ctx context.Context, rng *rand.Rand, j callerJob) time.Time {
-	c.fleet.world.ExpectJob(world.Job{Runtime: j.runtime, Spec: planner.Spec{
+	c.fleet.world.ExpectJob(world.Job{Runtime: j.runtime, Fails: j.fails, Spec: planner.Spec{
 		Queue: j.queue, Job: model.Job{ID: j.id, Specification: j.specification(), Steps: []model.Step{j.step}},
 	}})
 	for range submitAttempts {
--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -69,6 +69,9 @@
 	check  *checker
 	log    *slog.Logger
 	cancel context.CancelFunc
+	mu     sync.Mutex
+	// mixed are the jobs of runMixedCaller.
+	mixed []callerJob
 	// version is the version of the newest configuration.
 	version atomic.Int64
 }
@@ -105,6 +108,11 @@
 		ids = append(ids, fmt.Sprintf("w%d", i))
 	}
 	fatal(t, f.wire.Listen(ids))
+	go func() {
+		if err := f.wire.Heartbeats(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
 	f.configure()
 	subnet := int(fleetCount.Add(1))
 	for i := range vms {
@@ -155,6 +163,7 @@
 zone = "z"
 region = "r"
 internal_ports = [{{.Peer}}, {{.Peer}}]
+heartbeat_interval_ms = {{.Heartbeat}}
 seeds = [{{range .Seeds}}"{{.}}:{{$.Peer}}",{{end}}]
 [listen]
 front = "{{.IP}}:{{.Callers}}"
@@ -164,6 +173,7 @@
 cores = 1
 [bounds]
 max_hold_ms = 6000
+stable_window_ms = {{.StableWindow}}
 gang_timeout_ms = 3000
 config_apply_ms = 2500
 grace_period_s = 6
@@ -181,6 +191,7 @@
 	var b bytes.Buffer
 	err := settings.Execute(&b, map[string]any{
 		"Name": v.name, "IP": v.ip, "Peer": peerPort, "Callers": callersPort, "Readiness": readinessPort, "Seeds": seeds, "Store": v.store.Address(),
+		"Heartbeat": world.HeartbeatInterval.Milliseconds(), "StableWindow": world.StableWindow.Milliseconds(),
 	})
 	if err == nil {
 		err = os.WriteFile(v.settings+".new", b.Bytes(), 0o600)
--- /dev/null
+++ b/internal/proof/soak/progress_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
+)
+
+// mixedPrefix begins the ids of the jobs of runMixedCaller.
+const mixedPrefix = "e"
+
+// runMixedCaller submits jobs of the kinds that may hold up others: long-running tasks,
+// large gangs, tasks with data in one rack, gangs for one rack and jobs that can't be done.
+func (f *fleet) runMixedCaller(ctx context.Context, rng *rand.Rand) {
+	c := f.newCaller(mainKey)
+	lasting := 0
+	for i := 0; ctx.Err() == nil; i++ {
+		j := randomJob(rng, fmt.Sprintf("%s%015x", mixedPrefix, i))
+		switch rng.IntN(6) {
+		case 0:
+			if lasting < maxLasting {
+				lasting++
+				j.step.LongRunning, j.step.Gang, j.runtime = true, false, time.Hour
+			}
+		case 1:
+			j.step.Gang, j.step.Tasks = true, 1+rng.IntN(workers*2/3)
+		case 2:
+			j.step.Gang, j.step.SameRack = true, true
+		case 3:
+			j.fails = true
+		}
+		if rng.IntN(3) == 0 {
+			j.step.Rack = fmt.Sprintf("r%d", rng.IntN(workers/4))
+		}
+		c.submit(ctx, rng, j)
+		f.mu.Lock()
+		f.mixed = append(f.mixed, j)
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(300+rng.IntN(1500)) * time.Millisecond):
+		}
+	}
+}
+
+// maxLasting bounds the long-running jobs of a seed.
+const maxLasting = 5
+
+// cancelLasting cancels the long-running jobs, at any VM until it succeeds.
+func (f *fleet) cancelLasting() {
+	c := f.newCaller(mainKey)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, j := range f.mixed {
+		if j.step.LongRunning {
+			c.cancel(context.Background(), rng, j)
+		}
+	}
+}
+
+// judgeProgress checks that no accepted job waits beside free workers from calmSince, when
+// all faults were healed, until done is closed.
+func (f *fleet) judgeProgress(calmSince time.Time, done <-chan struct{}) {
+	var p world.Progress
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		var live []string
+		for id := range f.check.unfinished() {
+			if !f.world.State(id).Terminal() {
+				live = append(live, id)
+			}
+		}
+		p.Observe(f.world, live, calmSince, time.Now())
+	}
+}
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -84,12 +84,14 @@
 
 const (
 	vms     = 4
-	workers = 6
+	workers = 12
 	// faultsPerSeed is the number of faults that a seed injects.
 	faultsPerSeed = 14
 	// settleTime lets the VMs and workers reconnect; the platform's
 	// stable_window_ms is 4 s.
 	settleTime = 5 * time.Second
+	// idleTime is how long no new jobs arrive before the long-running ones are cancelled.
+	idleTime = 10 * time.Second
 	// finishTime bounds the time until all jobs are in a terminal state after the
 	// callers have stopped; the queued work of the whole fleet takes less.
 	finishTime = 60 * time.Second
@@ -107,6 +109,8 @@
 		r := rand.New(rand.NewPCG(seed, uint64(2+i)))
 		background.Go(func() { f.runCaller(ctx, i, r) })
 	}
+	mixedRand := rand.New(rand.NewPCG(seed, 50))
+	background.Go(func() { f.runMixedCaller(ctx, mixedRand) })
 	probeRand := rand.New(rand.NewPCG(seed, 100))
 	background.Go(func() { f.probe(ctx, probeRand) })
 	background.Go(func() { f.balance(ctx) })
@@ -120,6 +124,9 @@
 	}
 	faults.Wait()
 	f.heal()
+	ended := make(chan struct{})
+	var judge sync.WaitGroup
+	judge.Go(func() { f.judgeProgress(time.Now(), ended) })
 	time.Sleep(settleTime)
 	f.logEvent("all faults healed")
 	c.setFaultFree(true)
@@ -133,7 +140,12 @@
 	}
 	stopCallers()
 	background.Wait()
+	// Long-running tasks are judged a while without new jobs.
+	time.Sleep(idleTime)
+	f.cancelLasting()
 	f.awaitTerminal()
+	close(ended)
+	judge.Wait()
 	for _, v := range f.world.Violations() {
 		c.addViolation("%s", v)
 	}
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -3,12 +3,15 @@
 package wire
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -34,6 +37,10 @@
 	// StoreAddress is the address of the store's listener; Listen sets it.
 	StoreAddress string
 
+	mu sync.Mutex
+	// addresses are the addresses at which workers have registered, by ID.
+	addresses map[string]string
+
 	// view is the connection to the world's store; tests set the faults of its link.
 	view    *world.View
 	servers []*http.Server
@@ -97,6 +104,7 @@
 	Sequence int      `json:"sequence"`
 	Capacity object   `json:"capacity"`
 	Labels   []string `json:"labels"`
+	ClockMS  int64    `json:"clock_ms"`
 }
 
 // addWorker serves a worker and registers it as the platform's workers do.
@@ -118,22 +126,54 @@
 
 // Register writes the registration of a worker's current incarnation.
 func (w *Wire) Register(id, address string) error {
-	x := w.World.Worker(id).Info
+	worker := w.World.Worker(id)
+	x := worker.Info
 	state := "ready"
 	if x.Draining {
 		state = "draining"
 	}
 	b, err := json.Marshal(registration{
 		Service: x.Service, Address: address, Zone: "z", State: state, Born: x.Incarnation, Sequence: 1, Labels: x.Labels,
+		ClockMS:  worker.Clock().Milliseconds(),
 		Capacity: object{"cpu": x.Capacity.MilliCPU, "requested_memory_mb": x.Capacity.MemoryMB, "gpu": x.Capacity.Accelerators},
 	})
 	if err != nil {
 		return fmt.Errorf("encode the registration of %s: %w", id, err)
 	}
 	w.World.Store.Put(WorkerPrefix+id, b)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.addresses == nil {
+		w.addresses = make(map[string]string)
+	}
+	w.addresses[id] = address
 	return nil
 }
 
+// Heartbeats registers the workers that are up again, as the platform's workers do, until
+// ctx is done. While the store is down, heartbeats are lost. It returns the first error of
+// a registration.
+func (w *Wire) Heartbeats(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(world.HeartbeatInterval):
+		}
+		w.mu.Lock()
+		addresses := maps.Clone(w.addresses)
+		w.mu.Unlock()
+		for id, address := range addresses {
+			if !w.World.Worker(id).Up() || w.World.Store.IsDown() {
+				continue
+			}
+			if err := w.Register(id, address); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 func start(rw http.ResponseWriter, r *http.Request, client *world.Client) {
 	var b struct {
 		Task, Specification, Checkpoint string
--- a/internal/standin/world/capacity.go
+++ b/internal/standin/world/capacity.go
@@ -93,7 +93,7 @@
 		c.skip--
 		return
 	}
-	if !w.Store.isDown() {
+	if !w.Store.IsDown() {
 		w.register(x)
 	}
 }
@@ -112,7 +112,8 @@
 	return true
 }
 
-func (s *Store) isDown() bool {
+// IsDown reports whether the store is down.
+func (s *Store) IsDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.down
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -137,6 +137,16 @@
 	return x.startedAt.UnixNano()
 }
 
+// Up reports whether the worker's process runs.
+func (x *Worker) Up() bool { return x.processStart() != 0 }
+
+// Clock returns the reading of the worker's clock.
+func (x *Worker) Clock() time.Duration {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	return x.clock()
+}
+
 func (x *Worker) clock() time.Duration {
 	return time.Duration(float64(time.Since(x.startedAt)) * x.rate)
 }
