--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -21,6 +21,20 @@
 	return s.MilliCPU <= free.MilliCPU && s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
 }
 
+// maxResource is the largest amount of a resource that a worker may have. The sum over all
+// workers of a fleet stays within an int64.
+const maxResource = 1 << 40
+
+// InRange reports whether s may be the capacity of a worker.
+func (s Shape) InRange() bool {
+	for _, n := range []int64{s.MilliCPU, s.MemoryMB, s.Accelerators} {
+		if n < 0 || n > maxResource {
+			return false
+		}
+	}
+	return true
+}
+
 // Plus returns the sum of s and o.
 func (s Shape) Plus(o Shape) Shape {
 	return Shape{s.MilliCPU + o.MilliCPU, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
--- a/internal/fleet/node/asker.go
+++ b/internal/fleet/node/asker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -43,6 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if net.ParseIP(h.IP) == nil {
+		return nil, fault.New(fault.NotReady, "the planner lock of term %d names no VM", h.Revision)
+	}
 	if h.IP == r.n.Settings.IP {
 		return r.n.planner, nil
 	}
--- a/internal/fleet/planner/sizes.go
+++ b/internal/fleet/planner/sizes.go
@@ -49,6 +49,11 @@
 	}
 	for service, all := range byService {
 		for _, c := range all {
+			if !c.InRange() {
+				// Written by a version that did not check the entries of workers.
+				s.unwritten = true
+				continue
+			}
 			s.add(service, c)
 		}
 	}
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -177,7 +177,7 @@
 
 func (t *term) restoreUnit(j *job, rec UnitRecord) {
 	k := unitKey{rec.Occurrence, rec.Step, rec.Index}
-	if rec.Step >= len(j.spec.Job.Steps) {
+	if rec.Step >= len(j.spec.Job.Steps) || rec.Occurrence >= max(j.spec.Job.Occurrences, 1) {
 		return
 	}
 	j.createUnits(rec.Occurrence + 1)
--- a/internal/peer/vm/vm.go
+++ b/internal/peer/vm/vm.go
@@ -47,7 +47,7 @@
 // Add adds the peer with the given address. It does nothing if the address is
 // empty, is this VM's own, or was added before.
 func (p *Peers) Add(ip string) {
-	if ip == "" || ip == p.SelfIP {
+	if net.ParseIP(ip) == nil || ip == p.SelfIP {
 		return
 	}
 	p.mu.Lock()
--- a/internal/peer/vm/vm_test.go
+++ b/internal/peer/vm/vm_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/vm"
 )
 
@@ -46,3 +48,16 @@
 		}
 	}
 }
+
+// TestOddPeerIsNotAdded guards against calls to a peer whose entry in the list of VMs has no
+// IP address.
+func TestOddPeerIsNotAdded(t *testing.T) {
+	is := is.New(t)
+	p := vm.Peers{SelfIP: "10.0.0.1", Port: 7000}
+	for _, ip := range []string{"", "10.0.0.1", "10.0.0.999", "10.0.0.2:80", "a\nb", "host"} {
+		p.Add(ip)
+	}
+	is.Equal(len(p.Relays()), 0)
+	p.Add("10.0.0.2")
+	is.Equal(len(p.Relays()), 1)
+}
--- a/internal/standin/wire/store.go
+++ b/internal/standin/wire/store.go
@@ -60,9 +60,17 @@
 		all = all[1:]
 	}
 	page := all[:min(len(all), w.PageSize)]
+	for i, n := 0, 0; i < len(page); i++ {
+		if n += len(page[i].Value); n > pageBytes && i > 0 {
+			page = page[:i]
+		}
+	}
 	writeJSON(rw, http.StatusOK, object{"items": storeItems(page), "has_more": len(page) < len(all), "at": at})
 }
 
+// pageBytes bounds the values on a page of a list, in bytes, unless it has one item only.
+const pageBytes = 1 << 20
+
 func (w *Wire) watch(rw http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
