Ignore a rack in which a gang never fits

Callers saw a gang wait for ever: its 'affinity' names a rack with fewer workers than it needs. The rack was a condition if any worker of it was listed.

The rack counts only if the unit would fit there if nothing else ran.

--- a/internal/decide/placement/overdue.go
+++ b/internal/decide/placement/overdue.go
@@ -67,8 +67,8 @@
 			continue
 		}
 		capacity, free = capacity.Plus(x.Capacity), free.Plus(p.free[w])
-		if x.Reachable && x.hasLabel(u.Label) {
-			fits += countFits(u.Shape, p.free[w], overdueRoom*u.Tasks)
+		if x.Reachable && x.HasLabel(u.Label) {
+			fits += CountFits(u.Shape, p.free[w], overdueRoom*u.Tasks)
 		}
 	}
 	return fits >= overdueRoom*u.Tasks && (u.LongRunning || capacity.Minus(free).ShareOf(capacity) < overdueUsedShare)
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -14,11 +14,11 @@
 	open := x.Schedulable || p.useClosed || p.relaxed >= relaxClosed && x.Reachable
 	avoided := u.Avoid[w] || u.AvoidFailed[w] && p.relaxed < relaxFailed
 	return open && x.Service == u.Service && !avoided && u.Shape.Fits(x.Capacity) &&
-		(p.useKept || p.relaxed > 0 || p.mayUse(u, w)) && (u.Rack == "" || u.Rack == x.Rack) && x.hasLabel(u.Label)
+		(p.useKept || p.relaxed > 0 || p.mayUse(u, w)) && (u.Rack == "" || u.Rack == x.Rack) && x.HasLabel(u.Label)
 }
 
-// hasLabel reports whether a worker has a label; every worker has the empty one.
-func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+// HasLabel reports whether a worker has a label; every worker has the empty one.
+func (w *Worker) HasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
 // findWorkers returns a worker for each task of a unit, or nil if the free
 // capacity does not suffice. Of the groups where the unit fits it chooses the
@@ -67,15 +67,15 @@
 	n := 0
 	for _, w := range workers {
 		if p.eligible(u, w) {
-			n += countFits(u.Shape, p.in.Workers[w].Capacity, u.PerWorker)
+			n += CountFits(u.Shape, p.in.Workers[w].Capacity, u.PerWorker)
 		}
 	}
 	return n >= u.Tasks
 }
 
-// countFits returns how many times a shape fits in a capacity, at most limit
+// CountFits returns how many times a shape fits in a capacity, at most limit
 // times if limit is over 0.
-func countFits(s, capacity model.Shape, limit int) int {
+func CountFits(s, capacity model.Shape, limit int) int {
 	n := 0
 	for s.Fits(capacity) && (limit == 0 || n < limit) && n < maxTasksPerWorker {
 		capacity = capacity.Minus(s)
--- a/internal/fleet/planner/isolation.go
+++ b/internal/fleet/planner/isolation.go
@@ -142,7 +142,7 @@
 // ran nothing.
 func (v *view) roomFor(i int, u *unit, empty bool) int {
 	w, s := &v.in.Workers[i], u.step()
-	if !w.Schedulable || w.Service != u.job.queue.Service || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+	if !w.Schedulable || w.Service != u.job.queue.Service || !w.HasLabel(s.Label) {
 		return 0
 	}
 	free, n := w.Free, 0
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -21,8 +21,8 @@
 	running     []*unit
 	// stepCounts holds the tasks on each worker, for the steps that limit them.
 	stepCounts map[stepKey]map[int]int
-	// racks are the racks of the workers.
-	racks map[string]bool
+	// racks has the indices of the workers of each rack.
+	racks map[string][]int
 	// isolated are the waiting units that are to run on workers of their own, and
 	// isolatedWorkers those of such units that run; apart are the waiting units that must
 	// not start beside some others. placedOn has the units that were placed on each worker
@@ -44,14 +44,14 @@
 
 func (t *term) view(now time.Time) *view {
 	v := &view{
-		workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string]bool), isolated: make(map[*unit]bool),
+		workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string][]int), isolated: make(map[*unit]bool),
 		apart: make(map[*unit]bool), placedOn: make(map[int][]*unit), overdue: make(map[*job]bool), probation: t.countProbation(),
 	}
 	v.in.Reservations, v.in.Disabled = maxReservations, t.p.Disabled
 	v.in.Workers = make([]placement.Worker, 0, len(v.workers))
 	for i, w := range v.workers {
 		v.workerIndex[w.id] = i
-		v.racks[w.info.Rack] = true
+		v.racks[w.info.Rack] = append(v.racks[w.info.Rack], i)
 		if w.isIsolated() {
 			v.isolatedWorkers = append(v.isolatedWorkers, i)
 		}
@@ -307,7 +307,7 @@
 	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > anyRackAge && !t.p.Disabled[policy.LeaveRack] {
 		in.SameRack = false
 	}
-	if v.racks[s.Rack] {
+	if v.rackFits(u) {
 		in.Rack = s.Rack
 	}
 	if s.PerWorker > 0 {
@@ -324,6 +324,22 @@
 	return in
 }
 
+// rackFits reports whether a unit would fit in the rack of its data if nothing else ran
+// there. One that does not would wait for that rack for ever.
+func (v *view) rackFits(u *unit) bool {
+	s, fits := u.step(), 0
+	for _, i := range v.racks[s.Rack] {
+		w := &v.in.Workers[i]
+		if w.Service == u.job.queue.Service && w.HasLabel(s.Label) {
+			fits += placement.CountFits(s.CountedShape(), w.Capacity, s.PerWorker)
+		}
+		if fits >= u.tasks() {
+			return true
+		}
+	}
+	return false
+}
+
 // failedOn returns the workers that a unit avoids since it failed there, or nil for none.
 func (t *term) failedOn(v *view, u *unit, now time.Time) map[int]bool {
 	if t.p.Disabled[policy.AvoidFailed] {
