Stop tasks that last for a guarantee as far as their may_miss allows

Cause: a step with may_miss was never pre-empted at all, though that many of its tasks may be unavailable. Now so many of its running units stay preemptible in each pass that no more of its tasks are away than it allows. A task counts as at work only if its worker's last report says so; all others count as away, so AVAIL holds whatever else has ended some.

--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -64,6 +64,7 @@
 	}
 	t.markGuaranteed()
 	t.addRunning(v, now)
+	t.limitStops(v)
 	t.addWaiting(v, now)
 	return v
 }
@@ -149,7 +150,7 @@
 	r := placement.Running{
 		Shape: s.CountedShape(), Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
 		Stopping:       u.done || u.aborting || u.job.ended(),
-		NotPreemptible: s.LongRunning && s.MaxUnavailable > 0 || u.reportedRun > 0,
+		NotPreemptible: u.reportedRun > 0,
 	}
 	elapsed := now.Sub(u.placedAt).Seconds()
 	r.EndsIn = u.expectedRemaining(elapsed, t.p.Disabled[policy.ProgressEstimates])
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -339,6 +339,9 @@
 	if r.doneAt.IsZero() {
 		return 0
 	}
+	if r.step.LongRunning {
+		return 100 // at work
+	}
 	return min(99, 100*float64(time.Since(r.startedAt))/float64(r.doneAt.Sub(r.startedAt)))
 }
 
