Compress records that outgrow a value, and handle rejected writes by themselves

A call that the store rejects for good has the kind bad_request: the record is deferred, counted and logged, and others are written. A job whose record might outgrow a value even so is refused at its submission. Records of earlier versions are read as before.

On the way: a run record that could not be read made the planner start the job again from its first task, and its write then ended the term; it leaves the job alone now (TestUnreadableRunRecordStartsNothing).

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -76,8 +76,10 @@
 	Planner Planner
 	// Disabled are the mechanisms that are switched off for an experiment.
 	Disabled policy.Disabled
-	Log      *slog.Logger
-	Meter    *meter.Meter
+	// MaxValueBytes is the largest value that the store accepts, in bytes; 0 for no limit.
+	MaxValueBytes int
+	Log           *slog.Logger
+	Meter         *meter.Meter
 
 	mu      sync.Mutex
 	summary model.PlannerSummary
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -44,6 +44,9 @@
 	if err := Check(&j); err != nil {
 		return err
 	}
+	if err := js.checkRecordFits(&j); err != nil {
+		return err
+	}
 	if err := js.checkFits(&t, &j); err != nil {
 		return err
 	}
@@ -95,6 +98,19 @@
 	return errA == nil && errB == nil && bytes.Equal(encodedA, encodedB)
 }
 
+// checkRecordFits returns an error of kind BadRequest if the planner's record of a job might
+// outgrow the store's largest value, so that the job would never go on.
+func (js *JobService) checkRecordFits(j *model.Job) error {
+	tasks := 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Tasks
+	}
+	if !planner.RecordFits(tasks, j.Occurrences, js.MaxValueBytes) {
+		return fault.WithField(fault.BadRequest, "steps", "have %d tasks and %d repetitions, whose record the store can't hold", tasks, j.Occurrences)
+	}
+	return nil
+}
+
 // checkFits returns an error of kind NeverFits if no worker of the service could ever
 // run a task of the job.
 func (js *JobService) checkFits(t *Target, j *model.Job) error {
@@ -167,6 +183,9 @@
 // record records the error of an attempt. It returns the error to return to the
 // caller at once, nil to try again.
 func (w *writeAttempts) record(err error) error {
+	if fault.Is(err, fault.BadRequest) && !w.resultUnknown() {
+		return err
+	}
 	if !fault.Is(err, fault.StoreUnavailable) {
 		w.unavailableSince = time.Time{}
 		if fault.Is(err, fault.AnswerLost) && !w.resultUnknown() {
--- a/internal/fleet/entry/jobs_test.go
+++ b/internal/fleet/entry/jobs_test.go
@@ -143,3 +143,20 @@
 		})
 	}
 }
+
+// TestJobWhoseRecordCanNotBeHeldIsRefused guards against an accepted job that never goes on
+// since the store can't hold its record.
+func TestJobWhoseRecordCanNotBeHeldIsRefused(t *testing.T) {
+	is := is.New(t)
+	js := &entry.JobService{MaxValueBytes: 1 << 20}
+	large := model.Job{ID: "00000000000000f1"}
+	for range 20 {
+		large.Steps = append(large.Steps, model.Step{Tasks: 2000})
+	}
+	repeated := model.Job{ID: "00000000000000f2", Occurrences: 10_000, Steps: []model.Step{{Tasks: 20}}}
+	for _, j := range []model.Job{large, repeated} {
+		err := js.Submit(t.Context(), entry.Target{JobID: j.ID}, j)
+		is.Equal(fault.KindOf(err), fault.BadRequest)
+		is.Equal(fault.FieldOf(err), "steps")
+	}
+}
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -49,4 +49,7 @@
 	// StatusRetention is the least time for which the state of a job in a
 	// terminal state stays available; 0 for no limit.
 	StatusRetention time.Duration
+	// MaxValueBytes is the largest value that the platform's store accepts, in bytes; 0 for
+	// no limit.
+	MaxValueBytes int
 }
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -98,7 +98,7 @@
 		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
 		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
-	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter}
+	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes, Log: n.Log, Meter: n.Meter}
 }
 
 // Stopping reports whether a planned stop of the daemon is in progress.
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -155,7 +155,7 @@
 
 // storeResponded reports whether an error is a response of the store itself.
 func storeResponded(err error) bool {
-	return err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) || fault.Is(err, fault.RetryHorizon)
+	return err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) || fault.Is(err, fault.RetryHorizon) || fault.Is(err, fault.BadRequest)
 }
 
 // tryRoutes tries the direct route and then peers, or peers first after a direct
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -136,9 +136,10 @@
 // a batch.
 func (t *term) fillsBatch() bool {
 	n, total := 0, 0
+	now := time.Now()
 	for _, j := range t.unwrittenJobs {
 		size := j.recordBytes()
-		if j.writing || size > batchBytes {
+		if j.writing || size > batchBytes || now.Before(j.writeAfter) {
 			continue
 		}
 		n, total = n+1, total+size
@@ -153,7 +154,8 @@
 // A record that is already being written waits, since the revision for its condition is not
 // known yet.
 func (t *term) nextBatch(large bool) *batch {
-	if t.ctx.Err() != nil || time.Now().Before(t.writeAfter) {
+	now := time.Now()
+	if t.ctx.Err() != nil || now.Before(t.writeAfter) {
 		return nil
 	}
 	b := &batch{large: large, txn: store.Txn{Conditions: []store.Condition{{Key: store.LockKey, Revision: t.revision}}}}
@@ -165,7 +167,7 @@
 	for _, j := range t.unwrittenJobs {
 		size := j.recordBytes()
 		full := b.entries()+maxRowEntries > store.MaxTxnEntries || total > 0 && total+size > batchBytes
-		if j.writing || full || size > batchBytes != large {
+		if j.writing || full || size > batchBytes != large || now.Before(j.writeAfter) {
 			remaining = append(remaining, j)
 			continue
 		}
@@ -183,7 +185,7 @@
 const maxRowEntries = 3
 
 func (t *term) addRow(b *batch, j *job) {
-	row := batchRow{job: j, state: j.state, value: j.encodeRecord(), changes: j.changes}
+	row := batchRow{job: j, state: j.state, value: j.encodeRecord(t.p.Bounds.MaxValueBytes), changes: j.changes}
 	for _, u := range j.unitList {
 		for _, m := range u.members {
 			if !m.startSent {
@@ -231,8 +233,9 @@
 	return n
 }
 
-// encodeRecord returns the encoded run record of a job.
-func (j *job) encodeRecord() []byte {
+// encodeRecord returns the encoded run record of a job, compressed if it has more than limit
+// bytes; 0 for no limit.
+func (j *job) encodeRecord(limit int) []byte {
 	r := RunRecord{State: j.state, EndedMS: j.endedMS, EverPlaced: j.everPlaced}
 	for _, u := range j.unitList {
 		rec := UnitRecord{
@@ -258,6 +261,9 @@
 		// encoded.
 		panic("planner: " + err.Error())
 	}
+	if limit > 0 && len(b) > limit {
+		return compressRecord(b)
+	}
 	return b
 }
 
@@ -319,7 +325,7 @@
 			return nil
 		case fault.Is(err, fault.Conflict):
 			return t.resolveConflict(b, current)
-		case !maybeApplied && fault.Is(err, fault.StoreUnavailable):
+		case !maybeApplied && (fault.Is(err, fault.StoreUnavailable) || fault.Is(err, fault.BadRequest)):
 			return err
 		}
 		t.p.Meter.Inc("commit_retry_" + string(fault.KindOf(err)))
@@ -400,6 +406,8 @@
 	}
 	switch {
 	case fault.Is(err, fault.Conflict):
+	case fault.Is(err, fault.BadRequest):
+		t.deferRejected(b, err)
 	case fault.Is(err, fault.StoreUnavailable):
 		t.writeAfter = time.Now().Add(retryPause)
 	default:
@@ -408,6 +416,21 @@
 	}
 }
 
+// rejectedWriteRetry is the pause before a record that the store has rejected is written
+// again: it may have become smaller.
+const rejectedWriteRetry = 2 * time.Second
+
+// deferRejected defers the records of a write that the store will never accept, so that it is
+// neither repeated at once nor holds up the records of other jobs.
+func (t *term) deferRejected(b *batch, err error) {
+	for _, row := range b.rows {
+		row.job.writeAfter = time.Now().Add(rejectedWriteRetry)
+		t.p.Meter.Inc("record_rejected")
+		t.p.Log.Error("the store rejects the record of a job", "job", row.job.id, "bytes", len(row.value), "limit", t.p.Bounds.MaxValueBytes,
+			"units", len(row.job.unitList), "jobs_in_write", len(b.rows), "error", err)
+	}
+}
+
 // applyPersistedRow sends the starts of a persisted record and marks the job's terminal
 // state as persisted.
 func (t *term) applyPersistedRow(row batchRow) {
--- a/internal/fleet/planner/odd_record_test.go
+++ b/internal/fleet/planner/odd_record_test.go
@@ -30,6 +30,25 @@
 	})
 }
 
+// TestUnreadableRunRecordStartsNothing guards against tasks that run twice since the planner can't
+// read what has run, as after a later version wrote the record. Other jobs go on.
+func TestUnreadableRunRecordStartsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newTestFleet(t, 1, 2)
+		defer fleet.close()
+		fleet.submit(jobID(1), "solve", time.Second, step(1, 1, false))
+		fleet.submit(jobID(2), "solve", time.Second, step(1, 1, false))
+		fleet.submit(jobID(3), "solve", time.Second, step(1, 1, false))
+		fleet.world.Store.Put(store.RunKey(jobID(1)), []byte("{"))
+		fleet.world.Store.Put(store.RunKey(jobID(2)), []byte("z{"))
+		fleet.startVM("a")
+		time.Sleep(5 * time.Second)
+		is.Equal(fleet.world.State(jobID(3)), model.Completed)
+		is.Equal(fleet.world.Starts(), 1)
+	})
+}
+
 // TestRunRecordWithTooManyOccurrences guards against a planner that creates the units of
 // occurrences that its job does not have.
 func TestRunRecordWithTooManyOccurrences(t *testing.T) {
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -1,7 +1,10 @@
 package planner
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
+	"io"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -87,9 +90,54 @@
 	Address string `json:"address,omitempty"`
 }
 
-// DecodeRunRecord decodes the planner's record of a job. It returns an error of kind
-// Internal if the record is malformed.
+// compressedRecord is the first byte of a compressed record; others begin with that of a
+// JSON object.
+const compressedRecord = 'z'
+
+// maxRecordBytes bounds a record that is decompressed.
+const maxRecordBytes = 256 << 20
+
+const (
+	// recordBytesPerTask exceeds what a task adds to a compressed record in its worst state:
+	// lost twice and placed again. recordBytesPerDoneTask is the same for one that is done.
+	recordBytesPerTask     = 64
+	recordBytesPerDoneTask = 24
+)
+
+// RecordFits reports whether the record of a job fits in a value of a size in bytes, 0 for no
+// limit. Of its occurrences, one is taken to run at a time.
+func RecordFits(tasks, occurrences, maxValueBytes int) bool {
+	bytes := tasks * (recordBytesPerTask + recordBytesPerDoneTask*max(occurrences-1, 0))
+	return maxValueBytes == 0 || bytes <= maxValueBytes
+}
+
+// compressRecord compresses an encoded record.
+func compressRecord(b []byte) []byte {
+	var out bytes.Buffer
+	out.WriteByte(compressedRecord)
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err == nil {
+		_, err = w.Write(b)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		// The level is valid, and a buffer accepts all bytes.
+		panic("planner: " + err.Error())
+	}
+	return out.Bytes()
+}
+
+// DecodeRunRecord decodes the planner's record of a job, compressed or not. It returns an
+// error of kind Internal if the record is malformed.
 func DecodeRunRecord(b []byte) (*RunRecord, error) {
+	if len(b) > 0 && b[0] == compressedRecord {
+		var err error
+		if b, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxRecordBytes)); err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "decompress run record")
+		}
+	}
 	var r RunRecord
 	if err := json.Unmarshal(b, &r); err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "decode run record")
--- a/internal/fleet/planner/scene_test.go
+++ b/internal/fleet/planner/scene_test.go
@@ -46,6 +46,9 @@
 	// maxLease is the longest lease of VMs that are started from now on; 0 for that of
 	// testBounds.
 	maxLease time.Duration
+	// maxValue is the largest value that the store accepts, in bytes, for VMs that are
+	// started from now on; 0 for no limit.
+	maxValue int
 	// ended holds the jobs that waitForEnd has seen to end.
 	ended map[string]bool
 	// mu guards terms and ordersWithoutLock: the current term of each VM, and the orders
@@ -105,12 +108,13 @@
 
 // startVM starts a VM with a planner.
 func (f *testFleet) startVM(vm string) {
+	f.world.Store.SetMaxValue(f.maxValue)
 	log, m := f.logger().With("vm", vm), &meter.Meter{}
 	view := &world.View{Store: f.world.Store, Link: f.world.Link(vm, "store")}
 	p := &planner.Planner{
 		Store: view, Config: f.config, WorkerPrefix: world.WorkerPrefix, DecodeWorker: world.DecodeWorker,
 		Dial: f.dial(vm), Log: log, Meter: m,
-		Bounds: model.Bounds{MaxLease: cmp.Or(f.maxLease, testBounds.MaxLease), GangTimeout: testBounds.GangTimeout, StatusRetention: f.statusRetention, StableWindow: world.StableWindow, HeartbeatInterval: world.HeartbeatInterval},
+		Bounds: model.Bounds{MaxLease: cmp.Or(f.maxLease, testBounds.MaxLease), GangTimeout: testBounds.GangTimeout, StatusRetention: f.statusRetention, StableWindow: world.StableWindow, HeartbeatInterval: world.HeartbeatInterval, MaxValueBytes: f.maxValue},
 	}
 	if f.configure != nil {
 		f.configure(p)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -39,6 +39,9 @@
 	// unwritten reports whether the job has changes that are not yet part of a write; the
 	// job is then in term.unwrittenJobs.
 	unwritten bool
+	// writeAfter is the time before which the record is not written, since the store has
+	// rejected it.
+	writeAfter time.Time
 	// writing reports whether a write of the record is in flight.
 	writing bool
 	// changes counts the changes of the record, and persistedChanges those that the store
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -161,7 +161,8 @@
 	r, err := DecodeRunRecord(it.Value)
 	if err != nil {
 		t.p.Meter.Inc("record_decode_error")
-		t.p.Log.Error("run record could not be decoded", "job", id, "error", err)
+		t.p.Log.Error("run record could not be decoded; the job is left alone", "job", id, "error", err)
+		delete(t.live, id)
 		return
 	}
 	j.revision, j.everPlaced = it.Revision, r.EverPlaced
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -76,8 +76,9 @@
 //
 // Errors have the kind Conflict if a condition did not hold, NotFound if a
 // lease has ended, StoreUnavailable if nothing was changed, AnswerLost if the
-// change may have been made or may still be made, and RetryHorizon if the
-// history for a watch is no longer available.
+// change may have been made or may still be made, RetryHorizon if the
+// history for a watch is no longer available, and BadRequest if the store will
+// never accept the call, as a value is too large.
 type Store interface {
 	// Get returns an item; found is false when there is none.
 	Get(ctx context.Context, key string) (it Item, found bool, err error)
--- a/internal/standin/world/store.go
+++ b/internal/standin/world/store.go
@@ -24,6 +24,8 @@
 	compactedRevision int64
 	changed           chan struct{}
 	down              bool
+	// maxValue is the largest value that the store accepts, in bytes; 0 for no limit.
+	maxValue int
 	// paused is when the lease timers were stopped; zero when they run.
 	paused time.Time
 }
@@ -41,6 +43,13 @@
 	}
 }
 
+// SetMaxValue sets the largest value that the store accepts from daemons, in bytes.
+func (s *Store) SetMaxValue(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxValue = n
+}
+
 // SetDown makes the store unavailable or available. Leases expire meanwhile.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -190,6 +199,11 @@
 	if len(t.Conditions)+len(t.Puts)+len(t.Removes) > store.MaxTxnEntries {
 		return 0, nil, fault.New(fault.StoreUnavailable, "transaction has too many entries")
 	}
+	for _, p := range t.Puts {
+		if s.maxValue > 0 && len(p.Value) > s.maxValue {
+			return 0, nil, fault.New(fault.BadRequest, "a value is too large")
+		}
+	}
 	satisfied := true
 	var current []store.Item
 	for _, c := range t.Conditions {
