Take one unit of each step as overdue, not one of a job

A job with nothing running still waited beside free workers if the first of its steps did not fit: only that unit was taken as overdue, and a small task of a second step waited for its rack. It also no longer looks for a placed unit once for each waiting one.

--- a/internal/fleet/planner/overdue.go
+++ b/internal/fleet/planner/overdue.go
@@ -12,19 +12,21 @@
 const overdueAfter = 2 * time.Second
 
 // markOverdue reports whether a waiting unit is overdue: it has waited for overdueAfter and
-// is long-running, or nothing of its job runs. Of such a job, one unit is enough.
+// is long-running, or nothing of its job runs. Of such a job, one unit of each step is
+// enough.
 func (v *view) markOverdue(u *unit, now time.Time) bool {
 	if now.Sub(u.waitingSince) < overdueAfter {
 		return false
 	}
-	if u.step().LongRunning {
+	k := stepKey{u.job, u.key.occurrence, u.key.step}
+	switch {
+	case u.step().LongRunning:
 		return true
-	}
-	if v.overdue[u.job] || u.job.isPlaced() {
+	case v.overdue[k]:
 		return false
 	}
-	v.overdue[u.job] = true
-	return true
+	v.overdue[k] = true
+	return !u.job.isPlaced()
 }
 
 // isPlaced reports whether a unit of a job occupies resources or may do so.
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -30,8 +30,8 @@
 	isolated, apart map[*unit]bool
 	isolatedWorkers []int
 	placedOn        map[int][]*unit
-	// overdue are the jobs with nothing running of which a waiting unit is overdue.
-	overdue map[*job]bool
+	// overdue are the steps of which a unit has been considered as overdue.
+	overdue map[stepKey]bool
 	// probation counts the suspected units by job.
 	probation map[*job]probation
 }
@@ -45,7 +45,7 @@
 func (t *term) view(now time.Time) *view {
 	v := &view{
 		workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string][]int), isolated: make(map[*unit]bool),
-		apart: make(map[*unit]bool), placedOn: make(map[int][]*unit), overdue: make(map[*job]bool), probation: t.countProbation(),
+		apart: make(map[*unit]bool), placedOn: make(map[int][]*unit), overdue: make(map[stepKey]bool), probation: t.countProbation(),
 	}
 	v.in.Reservations, v.in.Disabled = maxReservations, t.p.Disabled
 	v.in.Workers = make([]placement.Worker, 0, len(v.workers))
