Count a job as pending until a task of it may have begun

When a start is abandoned that certainly began nothing, and nothing else of the job is placed or may have begun, the job is pending again, also in its record.

--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -299,7 +299,7 @@
 		// A repeated start has reached the next incarnation.
 		t.recordLoss(w, m)
 	}
-	m.incarnation, m.reported = w.incarnation, true
+	m.incarnation, m.reported, m.unit.job.begun = w.incarnation, true, true
 	if r.Checkpoint != "" {
 		m.checkpoint = r.Checkpoint
 	}
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -141,6 +141,7 @@
 		return
 	}
 	u := m.unit
+	u.job.begun = true
 	t.dropMember(w, m)
 	if r.Checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = r.Checkpoint
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -122,7 +122,7 @@
 	if m.removed {
 		return
 	}
-	m.startAckedAt = boottime.Now()
+	m.startAckedAt, m.unit.job.begun = boottime.Now(), true
 	t.p.Meter.Inc("start_ok")
 	t.p.Log.Debug("started", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "token", m.token)
 	m.unit.recordStarted(time.Now())
@@ -147,6 +147,7 @@
 		t.closeWorker(w, "refuses starts", refusedStartCloseTime)
 	}
 	if maybeStarted && !m.removed {
+		m.unit.job.begun = true
 		m.stopAckedAt = boottime.Now()
 		t.abortRun(m.unit, cause.StartFailed)
 	} else {
@@ -166,6 +167,9 @@
 	}
 	t.p.Log.Info("start abandoned", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "reason", reason)
 	t.dropMember(w, m)
+	if j := m.unit.job; !j.begun && !j.isPlaced() {
+		j.everPlaced = false
+	}
 	m.unit.excuseStart()
 	t.abortRun(m.unit, cause.StartFailed)
 	t.releaseIfStopped(m.unit)
@@ -185,6 +189,7 @@
 		t.notify()
 		return
 	}
+	m.unit.job.begun = true
 	t.p.Log.Warn("no response to start", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker)
 	t.abortRun(m.unit, cause.StartFailed)
 	t.stop(m)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -27,11 +27,13 @@
 	cancelled bool
 	// state is set to a terminal state once the job has ended; persisted reports whether
 	// the store has it.
-	state      model.JobState
-	persisted  bool
-	endedMS    int64
-	everPlaced bool
-	units      map[unitKey]*unit
+	state     model.JobState
+	persisted bool
+	endedMS   int64
+	// everPlaced reports whether a task of the job was placed, unless it is certain that none
+	// has begun; begun whether one may have begun.
+	everPlaced, begun bool
+	units             map[unitKey]*unit
 	// unitList are the units in the order of occurrence, step and index.
 	unitList []*unit
 	// createdOccurrences is the number of occurrences whose units exist.
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -165,7 +165,7 @@
 		delete(t.live, id)
 		return
 	}
-	j.revision, j.everPlaced = it.Revision, r.EverPlaced
+	j.revision, j.everPlaced, j.begun = it.Revision, r.EverPlaced, r.EverPlaced
 	if r.State != "" {
 		// The term in which the job ended has logged its end.
 		j.state, j.persisted, j.endedMS, j.logged = r.State, true, r.EndedMS, true
