Count a call as cut by a planned stop only if it was sent to that process

Trace: vm0's process served from 47.160, was paused from 47.199 by "kill while paused" and killed before the next fault, "planned stops in turn", at 48.669 reached it; the next process served from 48.888. The calls were sent between 47.4 and 48.1, to the paused process, and were reset by its SIGKILL. Their errors were read when the planned stop of the next process had begun.

The rule is about a SIGTERM of the machine that took the request, by the process that has read it. The check now compares the incarnation at the sending with the one that is being stopped; it is the same otherwise.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -66,7 +66,7 @@
 	r.Host = host
 	r.Header.Set("X-Api-Key", key)
 	r.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(callTimeout.Milliseconds()))
-	sent := time.Now()
+	sent, incarnation := time.Now(), v.incarnation()
 	resp, err := c.http.Do(r)
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
@@ -76,7 +76,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		c.fleet.check.recordBrokenCall(v.name, v.plannedStop(), sent, time.Now(), err)
+		c.fleet.check.recordBrokenCall(v.name, v.plannedStop(incarnation), sent, time.Now(), err)
 	}
 	return response{}
 }
--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -286,9 +286,13 @@
 	}
 }
 
-// plannedStop returns when an undisturbed planned stop of a VM began, or the zero
-// time if there was none.
-func (v *vm) plannedStop() time.Time {
+// plannedStop returns when an undisturbed planned stop of an incarnation of a VM began, or the
+// zero time if there was none. A call that an earlier incarnation received may be reported
+// only after the next one is being stopped.
+func (v *vm) plannedStop(incarnation string) time.Time {
+	if v.incarnation() != incarnation {
+		return time.Time{}
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.stopBegan
