Wait at the end of a term for the readings of its records

"Read a page of records again" lets readings continue that are not needed any more, and nothing waited for them. They belong to the term now, which cancels them and waits at its end, also if it could not read its records.

--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -93,6 +93,11 @@
 		p.Decide = placement.Plan
 	}
 	t := newTerm(ctx, cancel, p, l.Revision, valid)
+	// Readings of records may still wait for a response that is not needed any more.
+	defer func() {
+		cancel()
+		t.loops.Wait()
+	}()
 	p.Log.Info("planner term begins", "term", l.Revision)
 	p.setLoading(true)
 	defer p.setLoading(false)
--- a/internal/fleet/planner/read.go
+++ b/internal/fleet/planner/read.go
@@ -69,10 +69,10 @@
 			default:
 			}
 		}}
-		go func() {
+		t.loops.Go(func() {
 			page, err := t.p.Store.Page(httptrace.WithClientTrace(ctx, trace), prefix, after)
 			results <- pageReading{page, err}
-		}()
+		})
 	}
 	start()
 	again := time.NewTimer(pagePatience)
