Do not repeat a rejected write after an attempt without a response

Found on reading the change once more: a write whose first attempt got no response and that the store then rejects for good was repeated each 60 ms until the term ended. The record was never encoded again, so its job never went on, and Drain had to wait out its time.

A rejection holds whatever became of earlier attempts: the same write was rejected then, too. TestRejectedWriteIsNotRepeatedAfterALostResponse failed before.

--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -325,7 +325,8 @@
 			return nil
 		case fault.Is(err, fault.Conflict):
 			return t.resolveConflict(b, current)
-		case !maybeApplied && (fault.Is(err, fault.StoreUnavailable) || fault.Is(err, fault.BadRequest)):
+		case fault.Is(err, fault.BadRequest), !maybeApplied && fault.Is(err, fault.StoreUnavailable):
+			// A write that the store rejects was rejected at each attempt.
 			return err
 		}
 		t.p.Meter.Inc("commit_retry_" + string(fault.KindOf(err)))
