Read a worker's registration under the world's lock; let the soak keep no jobs

Heartbeats read a worker's description while a fault may restart it, without the lock that guards it.

The soak's fleet held the mixed jobs and a mutex for them, though only one goroutine adds some and they are read when it has ended: the caller returns the long-running ones. The comment of the cancellation said that it repeats until it succeeds, which it does not.

--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -69,9 +69,6 @@
 	check  *checker
 	log    *slog.Logger
 	cancel context.CancelFunc
-	mu     sync.Mutex
-	// mixed are the jobs of runMixedCaller.
-	mixed []callerJob
 	// version is the version of the newest configuration.
 	version atomic.Int64
 }
--- a/internal/proof/soak/progress_test.go
+++ b/internal/proof/soak/progress_test.go
@@ -13,16 +13,15 @@
 const mixedPrefix = "e"
 
 // runMixedCaller submits jobs of the kinds that may hold up others: long-running tasks,
-// large gangs, tasks with data in one rack, gangs for one rack and jobs that can't be done.
-func (f *fleet) runMixedCaller(ctx context.Context, rng *rand.Rand) {
+// large gangs, tasks with data in one rack, gangs for one rack and jobs that can't be done. It
+// returns the long-running ones.
+func (f *fleet) runMixedCaller(ctx context.Context, rng *rand.Rand) (lasting []callerJob) {
 	c := f.newCaller(mainKey)
-	lasting := 0
 	for i := 0; ctx.Err() == nil; i++ {
 		j := randomJob(rng, fmt.Sprintf("%s%015x", mixedPrefix, i))
 		switch rng.IntN(6) {
 		case 0:
-			if lasting < maxLasting {
-				lasting++
+			if len(lasting) < maxLasting {
 				j.step.LongRunning, j.step.Gang, j.runtime = true, false, time.Hour
 			}
 		case 1:
@@ -36,27 +35,26 @@
 			j.step.Rack = fmt.Sprintf("r%d", rng.IntN(workers/4))
 		}
 		c.submit(ctx, rng, j)
-		f.mu.Lock()
-		f.mixed = append(f.mixed, j)
-		f.mu.Unlock()
+		if j.step.LongRunning {
+			lasting = append(lasting, j)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(300+rng.IntN(1500)) * time.Millisecond):
 		}
 	}
+	return lasting
 }
 
 // maxLasting bounds the long-running jobs of a seed.
 const maxLasting = 5
 
-// cancelLasting cancels the long-running jobs, at any VM until it succeeds.
-func (f *fleet) cancelLasting() {
+// cancelAll cancels jobs, each at one VM.
+func (f *fleet) cancelAll(jobs []callerJob) {
 	c := f.newCaller(mainKey)
 	rng := rand.New(rand.NewPCG(1, 1))
-	for _, j := range f.mixed {
-		if j.step.LongRunning {
-			c.cancel(context.Background(), rng, j)
-		}
+	for _, j := range jobs {
+		c.cancel(context.Background(), rng, j)
 	}
 }
 
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -110,7 +110,8 @@
 		background.Go(func() { f.runCaller(ctx, i, r) })
 	}
 	mixedRand := rand.New(rand.NewPCG(seed, 50))
-	background.Go(func() { f.runMixedCaller(ctx, mixedRand) })
+	var lasting []callerJob
+	background.Go(func() { lasting = f.runMixedCaller(ctx, mixedRand) })
 	probeRand := rand.New(rand.NewPCG(seed, 100))
 	background.Go(func() { f.probe(ctx, probeRand) })
 	background.Go(func() { f.balance(ctx) })
@@ -142,7 +143,7 @@
 	background.Wait()
 	// Long-running tasks are judged a while without new jobs.
 	time.Sleep(idleTime)
-	f.cancelLasting()
+	f.cancelAll(lasting)
 	f.awaitTerminal()
 	close(ended)
 	judge.Wait()
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -126,15 +126,14 @@
 
 // Register writes the registration of a worker's current incarnation.
 func (w *Wire) Register(id, address string) error {
-	worker := w.World.Worker(id)
-	x := worker.Info
+	x := w.World.Worker(id).Snapshot()
 	state := "ready"
 	if x.Draining {
 		state = "draining"
 	}
 	b, err := json.Marshal(registration{
 		Service: x.Service, Address: address, Zone: "z", State: state, Born: x.Incarnation, Sequence: 1, Labels: x.Labels,
-		ClockMS:  worker.Clock().Milliseconds(),
+		ClockMS:  x.RegisteredAt.Milliseconds(),
 		Capacity: object{"cpu": x.Capacity.MilliCPU, "requested_memory_mb": x.Capacity.MemoryMB, "gpu": x.Capacity.Accelerators},
 	})
 	if err != nil {
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -140,11 +140,13 @@
 // Up reports whether the worker's process runs.
 func (x *Worker) Up() bool { return x.processStart() != 0 }
 
-// Clock returns the reading of the worker's clock.
-func (x *Worker) Clock() time.Duration {
+// Snapshot returns what the worker would register now.
+func (x *Worker) Snapshot() model.Worker {
 	x.world.mu.Lock()
 	defer x.world.mu.Unlock()
-	return x.clock()
+	info := x.Info
+	info.RegisteredAt = x.clock()
+	return info
 }
 
 func (x *Worker) clock() time.Duration {
