Tests: one loop for random schedules, one body for results beyond the list

runShards serves the three tests of random schedules. Jobs that last are submitted by submitAs, which was there.

--- a/internal/fleet/planner/progress_test.go
+++ b/internal/fleet/planner/progress_test.go
@@ -20,17 +20,7 @@
 // TestProgress runs random schedules of jobs and faults, and checks that no accepted work
 // waits beside free workers once all faults are healed.
 func TestProgress(t *testing.T) {
-	const shards = 8
-	for shard := range shards {
-		t.Run(fmt.Sprint(shard), func(t *testing.T) {
-			t.Parallel()
-			for seed := shard; seed < progressScheduleCount; seed += shards {
-				if violations := runProgressSchedule(t, uint64(seed)); len(violations) > 0 {
-					t.Errorf("seed %d: %v", seed, violations)
-				}
-			}
-		})
-	}
+	runShards(t, progressScheduleCount, runProgressSchedule)
 }
 
 // runProgressSchedule runs one schedule and returns the violations.
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -136,12 +136,18 @@
 
 // TestRunProtocol runs random schedules of faults against two planners.
 func TestRunProtocol(t *testing.T) {
+	runShards(t, scheduleCount, func(t *testing.T, seed uint64) []string { return runSchedule(t, seed, nil) })
+}
+
+// runShards runs n schedules in parallel shards, and fails with the first violations of each
+// shard.
+func runShards(t *testing.T, n int, run func(t *testing.T, seed uint64) (violations []string)) {
 	const shards = 8
 	for shard := range shards {
 		t.Run(fmt.Sprint(shard), func(t *testing.T) {
 			t.Parallel()
-			for seed := shard; seed < scheduleCount; seed += shards {
-				if violations := runSchedule(t, uint64(seed), nil); len(violations) > 0 {
+			for seed := shard; seed < n; seed += shards {
+				if violations := run(t, uint64(seed)); len(violations) > 0 {
 					t.Fatalf("seed %d: %v", seed, violations)
 				}
 			}
@@ -168,17 +174,7 @@
 // TestRunProtocolWithCrashes runs random schedules of faults in which one job crashes its
 // workers.
 func TestRunProtocolWithCrashes(t *testing.T) {
-	const shards = 8
-	for shard := range shards {
-		t.Run(fmt.Sprint(shard), func(t *testing.T) {
-			t.Parallel()
-			for seed := shard; seed < crashScheduleCount; seed += shards {
-				if violations := runCrashSchedule(t, uint64(seed)); len(violations) > 0 {
-					t.Fatalf("seed %d: %v", seed, violations)
-				}
-			}
-		})
-	}
+	runShards(t, crashScheduleCount, runCrashSchedule)
 }
 
 // guardSchedules bounds the schedules in which a missing guard must cause a violation.
--- a/internal/fleet/planner/reservation_test.go
+++ b/internal/fleet/planner/reservation_test.go
@@ -3,10 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
-	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
 )
 
 // TestGangThatWaitsForLastingTasksLeavesWorkersToOthers guards against a gang that keeps
@@ -20,9 +16,7 @@
 		time.Sleep(time.Second)
 		s := step(lasting, 8, false)
 		s.LongRunning, s.Estimate = true, time.Second
-		fleet.world.Submit(world.Job{Runtime: time.Hour, Spec: planner.Spec{
-			Job: model.Job{ID: jobID(1), Specification: "spec " + jobID(1), Steps: []model.Step{s}}, Queue: queues[1], Account: "acme", AcceptedMS: time.Now().UnixMilli(),
-		}})
+		fleet.submitAs("acme", jobID(1), "solve", time.Hour, s)
 		time.Sleep(5 * time.Second)
 		fleet.submit(jobID(2), "solve", 5*time.Second, step(workers-lasting+1, 8, true))
 		time.Sleep(100 * time.Millisecond)
--- a/internal/fleet/planner/results_test.go
+++ b/internal/fleet/planner/results_test.go
@@ -10,56 +10,41 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
 )
 
-// manyTasks is more than the number of run results that a worker lists in one response.
-const manyTasks = 640
-
-// manySmallTasks returns a step of manyTasks tasks that fit on one worker together.
-func manySmallTasks() model.Step {
-	return model.Step{Tasks: manyTasks, Shape: model.Shape{MilliCPU: 50, MemoryMB: 10}}
-}
-
 // TestTasksBeyondListedResultsRunOnce guards against tasks that run twice because a worker
-// lists only the first of their results after a cut.
+// lists only the first of their results, after a cut or when another VM has become the planner
+// before it knows of any of the results.
 func TestTasksBeyondListedResultsRunOnce(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newTestFleet(t, 1, 1)
-		defer fleet.close()
-		fleet.startVM("a")
-		time.Sleep(time.Second)
-		fleet.submit(jobID(1), "solve", 2*time.Second, manySmallTasks())
-		time.Sleep(time.Second)
-		fleet.link("a", "w0").Cut(true)
-		time.Sleep(3600 * time.Millisecond)
-		fleet.link("a", "w0").Cut(false)
-		time.Sleep(10 * time.Second)
-		is.Equal(fleet.world.State(jobID(1)), model.Completed)
-		is.Equal(fleet.world.Starts(), manyTasks)
-		is.Equal(fleet.world.Violations(), []string(nil))
-	})
-}
-
-// TestTasksBeyondListedResultsRunOnceAfterTakeover guards against the same when another VM
-// becomes the planner before it knows of any of the results.
-func TestTasksBeyondListedResultsRunOnceAfterTakeover(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newTestFleet(t, 1, 1)
-		defer fleet.close()
-		fleet.startVM("a")
-		time.Sleep(time.Second)
-		fleet.submit(jobID(1), "solve", 2*time.Second, manySmallTasks())
-		time.Sleep(time.Second)
-		fleet.kill("a")
-		fleet.world.Store.SetDown(true)
-		time.Sleep(2 * time.Second)
-		fleet.world.Store.SetDown(false)
-		fleet.startVM("b")
-		time.Sleep(15 * time.Second)
-		is.Equal(fleet.world.State(jobID(1)), model.Completed)
-		is.Equal(fleet.world.Starts(), manyTasks)
-		is.Equal(fleet.world.Violations(), []string(nil))
-	})
+	// More than a worker lists in one response.
+	const tasks = 640
+	for name, disturb := range map[string]func(f *testFleet){
+		"cut": func(f *testFleet) {
+			f.link("a", "w0").Cut(true)
+			time.Sleep(3600 * time.Millisecond)
+			f.link("a", "w0").Cut(false)
+		},
+		"takeover": func(f *testFleet) {
+			f.kill("a")
+			f.outage(2 * time.Second)
+			f.startVM("b")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				fleet := newTestFleet(t, 1, 1)
+				defer fleet.close()
+				fleet.startVM("a")
+				time.Sleep(time.Second)
+				fleet.submit(jobID(1), "solve", 2*time.Second, model.Step{Tasks: tasks, Shape: model.Shape{MilliCPU: 50, MemoryMB: 10}})
+				time.Sleep(time.Second)
+				disturb(fleet)
+				time.Sleep(15 * time.Second)
+				is.Equal(fleet.world.State(jobID(1)), model.Completed)
+				is.Equal(fleet.world.Starts(), tasks)
+				is.Equal(fleet.world.Violations(), []string(nil))
+			})
+		})
+	}
 }
 
 // TestFailuresBeyondListedResultsCount guards against runs beyond max_attempts because the
--- a/internal/fleet/planner/unavailable_test.go
+++ b/internal/fleet/planner/unavailable_test.go
@@ -3,10 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
-	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
 )
 
 // TestGuaranteeReclaimsTasksThatMayMiss guards against long-running tasks with may_miss that
@@ -21,9 +17,7 @@
 		for i := range jobs {
 			s := step(tasks, 8, false)
 			s.LongRunning, s.MaxUnavailable, s.Estimate = true, 1, time.Second
-			fleet.world.Submit(world.Job{Runtime: time.Hour, Spec: planner.Spec{
-				Job: model.Job{ID: jobID(1 + i), Specification: "spec " + jobID(1+i), Steps: []model.Step{s}}, Queue: queues[2], Account: "other", AcceptedMS: time.Now().UnixMilli(),
-			}})
+			fleet.submitAs("other", jobID(1+i), "render", time.Hour, s)
 		}
 		time.Sleep(3 * time.Second)
 		// More than the steps allow to stop: only so many begin.
