Decide in one place whether a worker gets new work, and why not

The log of waiting units repeated the conditions of the planner's view; both use workerState now, and the view counts the states while it is built. A unit gives the key of its step, which five places put together. Overdue units and explanations share the set of decided units, which is only built if a unit is overdue. The wait of isolated units is the one of overdue ones, which has the same reason. RunTerm waits for readings only where the term does not run, since a term that runs waits at its end.

--- a/internal/decide/placement/explain.go
+++ b/internal/decide/placement/explain.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
@@ -10,13 +12,9 @@
 	if len(p.in.Explain) == 0 {
 		return
 	}
-	decided := make(map[int]bool, len(p.out.Starts)+len(p.out.Nominations))
+	decided := p.decided()
 	p.out.Reasons = make(map[int]cause.Cause, len(p.in.Explain))
-	for _, a := range p.out.Starts {
-		decided[a.Unit] = true
-	}
 	for _, a := range p.out.Nominations {
-		decided[a.Unit] = true
 		p.out.Reasons[a.Unit] = cause.Freeing
 	}
 	for _, i := range p.in.Explain {
@@ -26,6 +24,15 @@
 	}
 }
 
+// decided returns the indices of the units that start or for which capacity is being freed.
+func (p *plan) decided() map[int]bool {
+	decided := make(map[int]bool, len(p.out.Starts)+len(p.out.Nominations))
+	for _, a := range slices.Concat(p.out.Starts, p.out.Nominations) {
+		decided[a.Unit] = true
+	}
+	return decided
+}
+
 // reason returns why a unit does not fit in the capacity that is left.
 func (p *plan) reason(u *Unit) cause.Cause {
 	if p.findWorkers(u, p.free, false) != nil {
--- a/internal/decide/placement/overdue.go
+++ b/internal/decide/placement/overdue.go
@@ -33,10 +33,10 @@
 // startOverdue starts overdue units that were not decided on, disregarding as little as
 // possible.
 func (p *plan) startOverdue() {
-	decided := make(map[int]bool, len(p.out.Starts)+len(p.out.Nominations))
-	for _, a := range slices.Concat(p.out.Starts, p.out.Nominations) {
-		decided[a.Unit] = true
+	if !slices.ContainsFunc(p.in.Waiting, func(u Unit) bool { return u.Overdue }) {
+		return
 	}
+	decided := p.decided()
 	defer func() { p.relaxed = 0 }()
 	for i := range p.in.Waiting {
 		u := &p.in.Waiting[i]
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// mayWrite reports whether a write of the job's record may begin.
+func (j *job) mayWrite(now time.Time) bool { return !j.writing && !now.Before(j.writeAfter) }
+
 // fillsBatch reports whether the records that can be written now, without large ones, fill
 // a batch.
 func (t *term) fillsBatch() bool {
@@ -139,7 +142,7 @@
 	now := time.Now()
 	for _, j := range t.unwrittenJobs {
 		size := j.recordBytes()
-		if j.writing || size > batchBytes || now.Before(j.writeAfter) {
+		if !j.mayWrite(now) || size > batchBytes {
 			continue
 		}
 		n, total = n+1, total+size
@@ -167,7 +170,7 @@
 	for _, j := range t.unwrittenJobs {
 		size := j.recordBytes()
 		full := b.entries()+maxRowEntries > store.MaxTxnEntries || total > 0 && total+size > batchBytes
-		if j.writing || full || size > batchBytes != large || now.Before(j.writeAfter) {
+		if !j.mayWrite(now) || full || size > batchBytes != large {
 			remaining = append(remaining, j)
 			continue
 		}
--- a/internal/fleet/planner/explain.go
+++ b/internal/fleet/planner/explain.go
@@ -26,7 +26,7 @@
 	groups := make(map[stepKey][]*unit)
 	var keys []stepKey
 	for _, u := range units {
-		k := stepKey{u.job, u.key.occurrence, u.key.step}
+		k := u.stepKey()
 		if groups[k] == nil {
 			keys = append(keys, k)
 		}
@@ -58,14 +58,13 @@
 	}
 	t.explainedAt = now
 	units := t.longWaiting(now)
-	states := t.countWorkerStates(now)
 	for _, u := range units[:min(len(units), maxExplained)] {
 		t.p.Log.Info("unit waits", "job", u.job.id, "step", u.key.step, "index", u.key.index, "tasks", u.tasks(), "shape", u.step().CountedShape(),
 			"same_rack", u.step().SameRack, "label", u.step().Label, "rack", u.step().Rack, "age_ms", now.Sub(u.job.accepted).Milliseconds(),
 			"cause", u.ledger.Current().String(), "cause_ms", now.Sub(u.ledger.ChangedAt()).Milliseconds(), "suspect", u.suspect,
 			"breaking", u.aborting, "claim", len(u.nominated), "avoids", len(u.avoidUntil), "waiting", len(v.waiting),
-			"workers", len(v.workers), "open_workers", states.schedulable, "draining", states.draining, "unreached", states.unreached,
-			"capacity_unknown", states.unknownCapacity, "closed", states.closed, "slow", states.slow)
+			"workers", len(v.workers), "open_workers", v.states[workerOpen], "draining", v.states[workerDraining], "unreached", v.states[workerUnreached],
+			"capacity_unknown", v.states[workerCapacityUnknown], "closed", v.states[workerClosed], "slow", v.states[workerSlow])
 		for _, m := range u.members {
 			w := t.workers[m.worker]
 			t.p.Log.Info("unit waits for the end of a task", "job", u.job.id, "task", m.task(), "run", m.run, "worker", m.worker,
@@ -76,33 +75,6 @@
 	}
 }
 
-// workerStates counts the listed workers by the first reason for which they get no new
-// work, and those that may get some.
-type workerStates struct {
-	draining, unreached, unknownCapacity, closed, slow, schedulable int
-}
-
-func (t *term) countWorkerStates(now time.Time) workerStates {
-	var s workerStates
-	for _, w := range t.listed {
-		switch {
-		case w.info.Draining:
-			s.draining++
-		case !w.responded || w.unresponsive:
-			s.unreached++
-		case !t.knowsCapacity(w, 2*orderTimeout):
-			s.unknownCapacity++
-		case now.Before(w.closedUntil):
-			s.closed++
-		case now.Before(w.slowUntil):
-			s.slow++
-		default:
-			s.schedulable++
-		}
-	}
-	return s
-}
-
 // longWaiting returns the units that have waited or been stopping for longer than
 // explainAfter, the oldest first.
 func (t *term) longWaiting(now time.Time) []*unit {
--- a/internal/fleet/planner/isolation.go
+++ b/internal/fleet/planner/isolation.go
@@ -13,9 +13,8 @@
 
 const (
 	// isolationWait bounds the wait of a suspected unit for workers of its own, and of other
-	// units for workers other than those, which is shorter than work may wait beside free
-	// workers.
-	isolationWait = 2 * time.Second
+	// units for workers other than those.
+	isolationWait = overdueAfter
 	// probationTime is how long a suspected task must run before the next one of its job
 	// may start.
 	probationTime = 2 * time.Second
--- a/internal/fleet/planner/overdue.go
+++ b/internal/fleet/planner/overdue.go
@@ -18,7 +18,7 @@
 	if now.Sub(u.waitingSince) < overdueAfter {
 		return false
 	}
-	k := stepKey{u.job, u.key.occurrence, u.key.step}
+	k := u.stepKey()
 	switch {
 	case u.step().LongRunning:
 		return true
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -93,29 +93,30 @@
 		p.Decide = placement.Plan
 	}
 	t := newTerm(ctx, cancel, p, l.Revision, valid)
-	// Readings of records may still wait for a response that is not needed any more.
-	defer func() {
-		cancel()
-		t.loops.Wait()
-	}()
 	p.Log.Info("planner term begins", "term", l.Revision)
-	p.setLoading(true)
-	defer p.setLoading(false)
-	var err error
-	if panicked := duty.Run(p.Log, p.Meter, "load", func() { err = t.loadRecords() }); panicked != nil {
-		err = panicked
-	}
-	if err != nil {
+	if err := p.load(t); err != nil {
 		p.Log.Warn("planner term ends", "term", l.Revision, "reason", "the store could not be read", "error", err)
+		cancel()
+		// Readings may still wait for a response that is not needed any more.
+		t.loops.Wait()
 		return
 	}
-	p.setLoading(false)
 	p.setTerm(t)
 	defer p.setTerm(nil)
 	t.run()
 	p.Log.Info("planner term ends", "term", l.Revision, "reason", t.reason())
 }
 
+// load reads the records of a term.
+func (p *Planner) load(t *term) (err error) {
+	p.setLoading(true)
+	defer p.setLoading(false)
+	if panicked := duty.Run(p.Log, p.Meter, "load", func() { err = t.loadRecords() }); panicked != nil {
+		return panicked
+	}
+	return err
+}
+
 // drainPollInterval is the interval at which Drain checks whether the starts in flight
 // have finished.
 const drainPollInterval = 10 * time.Millisecond
--- a/internal/fleet/planner/read.go
+++ b/internal/fleet/planner/read.go
@@ -83,9 +83,7 @@
 			if r.err == nil {
 				return r.page, nil
 			}
-			if pending--; pending == 0 && ctx.Err() != nil {
-				return store.Page{}, r.err
-			}
+			pending--
 			t.p.Meter.Inc("record_read_retry")
 			again.Reset(retryPause)
 		case <-begun:
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -107,8 +107,8 @@
 // RecordFits reports whether the record of a job fits in a value of a size in bytes, 0 for no
 // limit. Of its occurrences, one is taken to run at a time.
 func RecordFits(tasks, occurrences, maxValueBytes int) bool {
-	bytes := tasks * (recordBytesPerTask + recordBytesPerDoneTask*max(occurrences-1, 0))
-	return maxValueBytes == 0 || bytes <= maxValueBytes
+	size := tasks * (recordBytesPerTask + recordBytesPerDoneTask*max(occurrences-1, 0))
+	return maxValueBytes == 0 || size <= maxValueBytes
 }
 
 // compressRecord compresses an encoded record.
--- a/internal/fleet/planner/unavailable.go
+++ b/internal/fleet/planner/unavailable.go
@@ -9,7 +9,7 @@
 		if s := u.step(); !s.LongRunning || s.MaxUnavailable == 0 {
 			continue
 		}
-		k := stepKey{u.job, u.key.occurrence, u.key.step}
+		k := u.stepKey()
 		if _, ok := allowed[k]; !ok {
 			allowed[k] = t.mayStop(k)
 		}
@@ -26,7 +26,7 @@
 	step := &k.job.spec.Job.Steps[k.step]
 	unavailable := step.Tasks
 	for _, u := range k.job.unitList {
-		if u.key.occurrence == k.occurrence && u.key.step == k.step && t.isAtWork(u) {
+		if u.stepKey() == k && t.isAtWork(u) {
 			unavailable -= u.tasks()
 		}
 	}
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -32,6 +32,8 @@
 	placedOn        map[int][]*unit
 	// overdue are the steps of which a unit has been considered as overdue.
 	overdue map[stepKey]bool
+	// states counts the workers by their state.
+	states [workerOpen + 1]int
 	// probation counts the suspected units by job.
 	probation map[*job]probation
 }
@@ -42,6 +44,8 @@
 	occurrence, step int
 }
 
+func (u *unit) stepKey() stepKey { return stepKey{u.job, u.key.occurrence, u.key.step} }
+
 func (t *term) view(now time.Time) *view {
 	v := &view{
 		workers: t.listed, workerIndex: make(map[string]int, len(t.listed)), racks: make(map[string][]int), isolated: make(map[*unit]bool),
@@ -55,11 +59,12 @@
 		if w.isIsolated() {
 			v.isolatedWorkers = append(v.isolatedWorkers, i)
 		}
-		reachable := w.responded && t.knowsCapacity(w, 2*orderTimeout) && !w.unresponsive && !w.info.Draining
+		state := t.workerState(w, now)
+		v.states[state]++
 		v.in.Workers = append(v.in.Workers, placement.Worker{
 			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.occupied()),
-			Reachable: reachable, Schedulable: reachable && !now.Before(w.closedUntil) && !now.Before(w.slowUntil),
+			Reachable: state >= workerClosed, Schedulable: state == workerOpen,
 		})
 	}
 	t.markGuaranteed()
@@ -69,6 +74,34 @@
 	return v
 }
 
+// workerState says whether a listed worker gets new work. From workerClosed on it accepts orders.
+type workerState int
+
+const (
+	workerDraining workerState = iota
+	workerUnreached
+	workerCapacityUnknown
+	workerClosed
+	workerSlow
+	workerOpen
+)
+
+func (t *term) workerState(w *worker, now time.Time) workerState {
+	switch {
+	case w.info.Draining:
+		return workerDraining
+	case !w.responded || w.unresponsive:
+		return workerUnreached
+	case !t.knowsCapacity(w, 2*orderTimeout):
+		return workerCapacityUnknown
+	case now.Before(w.closedUntil):
+		return workerClosed
+	case now.Before(w.slowUntil):
+		return workerSlow
+	}
+	return workerOpen
+}
+
 // refreshListed rebuilds the list of listed workers, sorted by rack.
 func (t *term) refreshListed() {
 	t.listed = t.listed[:0:0]
@@ -224,7 +257,7 @@
 	var current *waitingStep
 	dependenciesDone := false
 	for _, u := range j.unitList {
-		k := stepKey{j, u.key.occurrence, u.key.step}
+		k := u.stepKey()
 		if !u.isWaiting() {
 			continue
 		}
@@ -360,7 +393,7 @@
 
 // tasksPerWorker counts the tasks of a unit's step on each worker.
 func (v *view) tasksPerWorker(u *unit) map[int]int {
-	k := stepKey{u.job, u.key.occurrence, u.key.step}
+	k := u.stepKey()
 	if n, ok := v.stepCounts[k]; ok {
 		return n
 	}
@@ -370,7 +403,7 @@
 	}
 	v.stepCounts[k] = n
 	for _, x := range u.job.unitList {
-		if x.key.occurrence != u.key.occurrence || x.key.step != u.key.step {
+		if x.stepKey() != k {
 			continue
 		}
 		for _, m := range x.members {
