Start the head when its reservation is free from the outset

Cause: a reservation started its job only when its last occupant ended. One that is free when it is made (after the job was tried in that round, or partly inside the account's block) has no occupant that could end, and the search for available accelerators leaves out those that are reserved, also for the job itself. If nothing else runs, no event follows.

Change: the head starts when its reservation is free, unless it must leave the block to an earlier job of its account.

--- a/internal/decide/gang/property_test.go
+++ b/internal/decide/gang/property_test.go
@@ -182,9 +182,24 @@
 	if err := checkState(&c.s, c.running); err != nil {
 		return err
 	}
+	if err := checkReservationsStart(&c.s); err != nil {
+		return err
+	}
 	return c.checkReclaimed()
 }
 
+// checkReservationsStart returns an error when, after a round, a job waits
+// although all accelerators that are nominated for it are free and it need not
+// leave them to an earlier job of its account.
+func checkReservationsStart(s *State) error {
+	for _, id := range sortedIDs(s.jobs) {
+		if js := s.jobs[id]; js.nomination != nil && js.nomination.pending == 0 && !s.mustYieldBlock(js) {
+			return fmt.Errorf("%s waits although all accelerators nominated for it are free", id)
+		}
+	}
+	return nil
+}
+
 // checkReclaimed returns an error when, after a round, a job within its
 // account's guarantee neither runs nor has accelerators nominated. No occupant
 // would then be pre-empted for it.
--- a/internal/decide/gang/reserve.go
+++ b/internal/decide/gang/reserve.go
@@ -73,18 +73,21 @@
 	return true
 }
 
-// maintainReservation checks the head's reservation when occupants of it have
-// ended or its time has come. It pre-empts backfill jobs that run too long,
-// chooses another place when the expectation was wrong, and moves small
-// borrowers that remain.
+// maintainReservation starts the head when its reservation is free. Otherwise it
+// checks the reservation when occupants of it have ended or its time has come. It
+// pre-empts backfill jobs that run too long, chooses another place when the
+// expectation was wrong, and moves small borrowers that remain.
 func (r *round) maintainReservation(js *jobState) {
+	if r.startReserved(js) {
+		return
+	}
 	late := !r.now.Before(js.nomination.expectedFree)
 	if js.nomination.lastPending == js.nomination.pending && !late {
 		return
 	}
 	if late {
 		r.preemptFor(js, r.backfillJobs(js))
-		if len(r.otherOccupants(js)) > 0 && !r.moveReservation(js) {
+		if len(r.otherOccupants(js)) > 0 && (!r.moveReservation(js) || r.startReserved(js)) {
 			return
 		}
 	}
@@ -92,6 +95,17 @@
 	r.compact(js)
 }
 
+// startReserved starts js when all accelerators of its reservation are free, and
+// reports whether it did. They can be free from the outset, when they became
+// available after js was tried in this round or lie both inside and outside its
+// account's block. No accelerator is freed later that would have js tried again.
+func (r *round) startReserved(js *jobState) bool {
+	if js.nomination.pending > 0 || r.mustYieldBlock(js) {
+		return false
+	}
+	return r.start(js, js.nomination.place, "its reserved place is free")
+}
+
 // backfillJobs returns the jobs that run as backfill on the reservation of js.
 func (s *State) backfillJobs(js *jobState) []*jobState {
 	var all []*jobState
