Count overdue units that wait beside free capacity

What operators saw: nothing but `unit waits`, after 5 s, when a unit waits although its capacity is free twice over.

Cause: Plan did not report overdue units that found no workers.

No decision changes.

--- a/internal/decide/placement/overdue.go
+++ b/internal/decide/placement/overdue.go
@@ -43,18 +43,28 @@
 		if !u.Overdue || decided[i] || !p.hasRoomForOverdue(u) {
 			continue
 		}
-		anywhere := *u
-		anywhere.Rack, anywhere.SameRack = "", false
-		for p.relaxed = relaxPreferences; p.relaxed <= relaxFailed; p.relaxed++ {
-			if ws := p.findWorkers(&anywhere, p.free, false); ws != nil {
-				p.start(i, ws)
-				p.out.Overdue = append(p.out.Overdue, i)
-				break
-			}
+		if ws := p.findRelaxed(u); ws != nil {
+			p.start(i, ws)
+			p.out.Overdue = append(p.out.Overdue, i)
+		} else {
+			p.out.Stalled = append(p.out.Stalled, i)
 		}
 	}
 }
 
+// findRelaxed returns a worker for each task of an overdue unit, or nil if none can be found
+// even where everything is disregarded that may be.
+func (p *plan) findRelaxed(u *Unit) []int {
+	anywhere := *u
+	anywhere.Rack, anywhere.SameRack = "", false
+	for p.relaxed = relaxPreferences; p.relaxed <= relaxFailed; p.relaxed++ {
+		if ws := p.findWorkers(&anywhere, p.free, false); ws != nil {
+			return ws
+		}
+	}
+	return nil
+}
+
 // hasRoomForOverdue reports whether an overdue unit must not wait: the free capacity of the
 // workers that accept orders suffices for it overdueRoom times and, unless it is
 // long-running, less than overdueUsedShare of its service's capacity is in use.
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -126,6 +126,9 @@
 	Stops []int
 	// Overdue has the units among Starts that started since they were overdue.
 	Overdue []int
+	// Stalled are the overdue units that found no workers although free capacity suffices
+	// for them twice over: a bound per worker or Unit.Avoid leaves them none.
+	Stalled []int
 	// Reasons says why units wait, by their index in Input.Waiting.
 	Reasons map[int]cause.Cause
 }
--- a/internal/decide/placement/script_test.go
+++ b/internal/decide/placement/script_test.go
@@ -61,6 +61,8 @@
 	Stops          []int
 	// Overdue are the units that start since they are overdue.
 	Overdue []int
+	// Stalled are the overdue units that wait beside free capacity.
+	Stalled []int
 }
 
 func shape(s [3]int64) model.Shape {
@@ -160,6 +162,7 @@
 			is.Equal(s.names(d.Nominations), s.Claims)
 			is.Equal(d.Stops, s.Stops)
 			is.Equal(d.Overdue, s.Overdue)
+			is.Equal(d.Stalled, s.Stalled)
 		})
 	}
 }
--- a/internal/fleet/planner/overdue.go
+++ b/internal/fleet/planner/overdue.go
@@ -48,3 +48,23 @@
 			"waited_ms", now.Sub(u.waitingSince).Milliseconds(), "rack", u.step().Rack, "same_rack", u.step().SameRack, "failed_on", len(v.in.Waiting[i].AvoidFailed))
 	}
 }
+
+// logStalled counts once in each wait of an overdue unit that it waits beside free capacity,
+// and warns of the first ones of a pass.
+func (t *term) logStalled(v *view, d *placement.Decision, now time.Time) {
+	logged := 0
+	for _, i := range d.Stalled {
+		u := v.waiting[i]
+		if u.stalledSince.Equal(u.waitingSince) {
+			continue
+		}
+		u.stalledSince = u.waitingSince
+		t.p.Meter.Inc("overdue_stalled")
+		if logged++; logged > maxExplained {
+			continue
+		}
+		t.p.Log.Warn("overdue unit waits beside free capacity", "job", u.job.id, "step", u.key.step, "index", u.key.index,
+			"cause", u.ledger.Current().String(), "waited_ms", now.Sub(u.waitingSince).Milliseconds(),
+			"avoids", len(v.in.Waiting[i].Avoid), "per_worker", v.in.Waiting[i].PerWorker)
+	}
+}
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -47,6 +47,7 @@
 	decision := t.p.Decide(v.in)
 	t.applyCauses(v, decision.Reasons, now)
 	t.logOverdue(v, &decision, now)
+	t.logStalled(v, &decision, now)
 	var stopped, placed []*unit
 	for _, r := range decision.Stops {
 		stopped = append(stopped, v.running[r])
--- a/internal/fleet/planner/reservation_test.go
+++ b/internal/fleet/planner/reservation_test.go
@@ -28,3 +28,23 @@
 		}
 	})
 }
+
+// TestStalledUnitIsCountedOnce guards against a unit that waits beside free workers without
+// a word in the log: here its bound per worker leaves it one worker too few.
+func TestStalledUnitIsCountedOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 1, 3)
+		defer fleet.close()
+		fleet.startVM("a")
+		time.Sleep(time.Second)
+		lasting, bounded := step(1, 8, false), step(3, 1, true)
+		lasting.LongRunning, bounded.PerWorker = true, 1
+		fleet.submit(jobID(1), "solve", time.Hour, lasting)
+		time.Sleep(3 * time.Second)
+		fleet.submit(jobID(2), "solve", time.Second, bounded)
+		time.Sleep(10 * time.Second)
+		if n := fleet.planners["a"].Meter.Count("overdue_stalled"); n != 1 {
+			t.Errorf("overdue_stalled is %d, want 1", n)
+		}
+	})
+}
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -97,6 +97,9 @@
 	readyAt time.Time
 	// waitingSince is when the unit began to wait for its next run.
 	waitingSince time.Time
+	// stalledSince is the waitingSince for which it was logged that the unit waits beside
+	// free capacity.
+	stalledSince time.Time
 	placedAt     time.Time
 	// ledger accounts for the time from readyAt until doneAt.
 	ledger cause.Ledger
