Test: keep the closed port bound, so that no listener takes it

Cause, a fault of the test: the port was closed before two listeners of the same test that reset connections were opened, and the kernel may give it to one of them.

Change: the port stays bound by a socket that does not listen.

--- a/internal/target/runner/runner_test.go
+++ b/internal/target/runner/runner_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 )
@@ -56,12 +58,21 @@
 	return l.Addr().String()
 }
 
+// closedPort returns an address at which nothing listens. Its port stays bound until the
+// test ends, so that no other listener gets it.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	is.NoErr(err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+}
+
 func TestSendReportsWhetherBytesWereWritten(t *testing.T) {
-	closedPort := func() string {
-		l, _ := net.Listen("tcp", "127.0.0.1:0")
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
 	reset := func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 1))
 		_ = c.(*net.TCPConn).SetLinger(0)
@@ -79,7 +90,7 @@
 		payload int
 		want    []EventKind
 	}{
-		{"closed port", closedPort(), 10, []EventKind{Unreachable, Ended}},
+		{"closed port", closedPort(t), 10, []EventKind{Unreachable, Ended}},
 		{"reset within a large request", serve(t, reset), 8 << 20, []EventKind{ConnectionLost, Ended}},
 		{"reset after a small request", serve(t, reset), 10, []EventKind{ConnectionLost, Ended}},
 		{"refused before the whole request was read", serve(t, refuseEarly), 100 << 10, []EventKind{NotStarted, Ended}},
