Give up a task after its last start only when that loss is a crash

Cause: after three crashes, any fourth loss gave the task up, also that of a run whose worker was only cut off. When such a loss was taken back, its run still counted as the last start.

Change: all losses must be known to be crashes, or 30 s have passed as for other workers that do not return; a run whose loss is taken back is excused, once.

All other tests of crashes pass unchanged.

--- a/internal/fleet/planner/crash.go
+++ b/internal/fleet/planner/crash.go
@@ -237,8 +237,12 @@
 	return responds || l.Clock > 0 && w.info.Incarnation == l.Incarnation && w.info.RegisteredAt > l.Clock
 }
 
-// dropLoss logs that a loss counts no more.
+// dropLoss records that a loss counts no more, since its worker still runs. Then the run has
+// ended without a crash.
 func (t *term) dropLoss(u *unit, l LossRecord) {
+	if u.hasLastStarts && u.reportedRun == 0 && l.Run == u.run {
+		u.reportedRun = l.Run
+	}
 	t.p.Meter.Inc("task_loss_disproved")
 	t.p.Log.Info("loss is no crash", "job", u.job.id, "step", u.key.step, "index", l.Index, "worker", l.Worker)
 	t.markUnwritten(u.job)
@@ -257,12 +261,17 @@
 	return nil
 }
 
-// giveUpIfProven fails the job of a unit if one of its tasks has crashed workers in several
-// racks while it was alone on them, or has had its last starts.
+// isProven reports whether one of a unit's tasks has crashed workers in several racks while
+// it was alone on them, or has had its last starts and all its losses are crashes, as far as
+// that can be known.
+func (u *unit) isProven(e *evidence) bool {
+	return len(e.racks) >= crashedRacks || u.hasNoStarts(e) && (e.crashes == e.losses || u.isResolveOver())
+}
+
+// giveUpIfProven fails the job of a unit if one of its tasks is proved to crash its workers.
 func (t *term) giveUpIfProven(u *unit) {
 	for index, e := range u.evidence() {
-		hasNoChance := u.hasNoStarts(e) && (e.crashes >= freeCrashes || u.isResolveOver())
-		if len(e.racks) < crashedRacks && !hasNoChance {
+		if !u.isProven(e) {
 			continue
 		}
 		t.p.Meter.Inc("task_given_up")
--- a/internal/fleet/planner/crash_test.go
+++ b/internal/fleet/planner/crash_test.go
@@ -480,6 +480,14 @@
 			f.waitForRun(task, false)
 			f.world.SetFailing("w0", false)
 		},
+		"cut_off": func(f *testFleet) {
+			f.waitForRun(task, true)
+			cutFor(f, 12*time.Second)
+		},
+		"cut_off_beyond_resolve_time": func(f *testFleet) {
+			f.waitForRun(task, true)
+			cutFor(f, 45*time.Second)
+		},
 		"not_sent": func(f *testFleet) {
 			time.Sleep(100 * time.Millisecond)
 			for range 3 {
