Count no crashes of workers that have a common cause

Cause: crashes were counted for each task by itself. Crashes at the same time alone are no excuse: jobs that crash their workers after the same delay start and crash together for ever.

Change: every second suspect that was lost with those of other jobs starts 1.0 or 1.9 s later, by turns. A crash whose next incarnation began within 0.4 s of another's, at another address and under a job whose run began 0.8 s or more apart, is dropped and its start does not count, unless the last one dropped for that job was just as far apart. Before a task is given up, crashes of the same moment are awaited for one reading of the list while other workers are silent.

All tests of crashes pass unchanged.

--- a/internal/fleet/planner/crash.go
+++ b/internal/fleet/planner/crash.go
@@ -57,8 +57,12 @@
 	// Clock is the reading of the worker's clock at the loss; 0 if it is not known.
 	Clock time.Duration `json:"clock,omitempty"`
 
-	// seenAt is when this term learned of the loss.
-	seenAt boottime.Time
+	// seenAt is when this term learned of the loss, and startedAt when the run's start was
+	// acknowledged; 0 if it is not known.
+	seenAt, startedAt boottime.Time
+	// crashedAt is when this term learned that the worker has crashed; 0 for a loss that is not
+	// known as a crash or was read from a record.
+	crashedAt boottime.Time
 }
 
 // evidence is what the losses of one task say about it.
@@ -163,7 +167,7 @@
 	u := m.unit
 	l := LossRecord{
 		Index: m.index, Run: m.run, Worker: w.id, Incarnation: m.incarnation, Address: m.address, Rack: w.info.Rack,
-		Alone: u.isolated && !m.shared, seenAt: boottime.Now(),
+		Alone: u.isolated && !m.shared, seenAt: boottime.Now(), startedAt: m.startAckedAt,
 	}
 	switch {
 	case m.adopted:
@@ -179,6 +183,7 @@
 		u.reportedRun = 0
 	}
 	t.setLosses(u, append(u.losses, l))
+	t.markLostTogether(u, l.Address)
 	t.resolveLosses(u, nil)
 }
 
@@ -216,7 +221,11 @@
 			continue
 		}
 		if w := t.successor(l, byAddress[l.Address]); w != nil && !l.Crashed {
-			l.Crashed, l.Rack = true, cmp.Or(l.Rack, w.info.Rack)
+			l.Crashed, l.Rack, l.crashedAt = true, cmp.Or(l.Rack, w.info.Rack), boottime.Now()
+			if t.addCrash(u, l, max(w.info.Incarnation, w.incarnation)) {
+				t.markUnwritten(u.job)
+				continue
+			}
 			t.p.Meter.Inc("task_loss_crash")
 			t.p.Log.Warn("worker crashed under task", "job", u.job.id, "step", u.key.step, "index", l.Index, "worker", l.Worker, "successor", w.id, "rack", l.Rack, "alone", l.Alone)
 			t.markUnwritten(u.job)
@@ -268,10 +277,11 @@
 	return len(e.racks) >= crashedRacks || u.hasNoStarts(e) && (e.crashes == e.losses || u.isResolveOver())
 }
 
-// giveUpIfProven fails the job of a unit if one of its tasks is proved to crash its workers.
+// giveUpIfProven fails the job of a unit if one of its tasks is proved to crash its workers,
+// unless a crash with a common cause may become known soon.
 func (t *term) giveUpIfProven(u *unit) {
 	for index, e := range u.evidence() {
-		if !u.isProven(e) {
+		if !u.isProven(e) || t.awaitsCrashes(u) {
 			continue
 		}
 		t.p.Meter.Inc("task_given_up")
--- a/internal/fleet/planner/isolation.go
+++ b/internal/fleet/planner/isolation.go
@@ -59,10 +59,13 @@
 		return false
 	}
 	for _, e := range u.evidence() {
-		if u.hasNoStarts(e) {
+		if u.hasNoStarts(e) || u.isProven(e) {
 			return true
 		}
 	}
+	if boottime.Now() < u.startAfter {
+		return true
+	}
 	if u.step().LongRunning {
 		return false
 	}
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -54,7 +54,7 @@
 		t.preempt(v.running[r])
 	}
 	for _, a := range decision.Starts {
-		if !v.keepsIsolation(v.waiting[a.Unit], a.Workers) {
+		if v.waiting[a.Unit].delaysStart() || !v.keepsIsolation(v.waiting[a.Unit], a.Workers) {
 			continue
 		}
 		placed = append(placed, v.waiting[a.Unit])
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -120,6 +120,12 @@
 	// the time until which the unit waits for such workers, zero before it first waits.
 	isolated     bool
 	isolateUntil time.Time
+	// startDelay is how much later than it could the unit starts next, so that it starts apart
+	// from others, and startAfter the time before which it does not start then.
+	startDelay time.Duration
+	startAfter boottime.Time
+	// commonCause says why the last loss that was dropped has a common cause with another.
+	commonCause commonCause
 	// shareAfter is the time from which the unit may start beside isolated units, zero before
 	// it first waits for other workers.
 	shareAfter time.Time
