--- a/internal/fleet/planner/commoncause.go
+++ b/internal/fleet/planner/commoncause.go
@@ -14,12 +14,13 @@
 // together start again apart.
 
 const (
-	// sameTime bounds the time between restarts of workers that may have a common cause.
-	sameTime = 400 * time.Millisecond
-	// apart is the least time between the starts of two runs that begin apart. It is over
-	// sameTime, so that two tasks that crash their workers after the same delay don't seem to
-	// have a common cause.
-	apart = 800 * time.Millisecond
+	// maxRestartsApart bounds the time, by the workers' clocks, between restarts of workers that
+	// may have a common cause.
+	maxRestartsApart = 400 * time.Millisecond
+	// minStartsApart is the least time between the starts of two runs that begin apart. It is
+	// over maxRestartsApart, so that two tasks that crash their workers after the same delay
+	// don't seem to have a common cause.
+	minStartsApart = 800 * time.Millisecond
 	// lostTogether bounds the time between the losses of suspects that start again apart.
 	lostTogether = 2 * time.Second
 	// crashMemory is how long a crash is compared with others.
@@ -29,8 +30,8 @@
 )
 
 // startDelays are the delays of one of two suspects that were lost together, by turns. They
-// differ by over 2*sameTime: tasks that crash their workers after different delays may
-// then crash them at the same time in every second run at most.
+// differ by over 2*maxRestartsApart, so that tasks that crash their workers after different
+// delays do so at the same time in every second run at most.
 var startDelays = [2]time.Duration{1000 * time.Millisecond, 1900 * time.Millisecond}
 
 // crash is a worker's crash under a unit.
@@ -71,16 +72,15 @@
 	return c.dropped
 }
 
-// hasCommonCause reports whether two crashes of workers, at different addresses, have a common
-// cause. Two tasks that crash
-// their workers after different delays may do so at the same time again and again, but their
-// runs then always begin the same time apart.
+// hasCommonCause reports whether two crashes of workers at different addresses have a common
+// cause. Two tasks that crash their workers after different delays may do so at the same time
+// again and again, but then their runs always begin the same time apart.
 func (c *crash) hasCommonCause(o *crash) bool {
 	if c.unit.job == o.unit.job || c.loss.Address == o.loss.Address || c.loss.startedAt == 0 || o.loss.startedAt == 0 {
 		return false
 	}
 	between := time.Duration(c.bornAt-o.bornAt) * time.Millisecond
-	return between.Abs() <= sameTime && c.startsApart(o).Abs() >= apart && !c.repeats(o) && !o.repeats(c)
+	return between.Abs() <= maxRestartsApart && c.startsApart(o).Abs() >= minStartsApart && !c.repeats(o) && !o.repeats(c)
 }
 
 // startsApart returns how much later the run of a crash began than that of another.
@@ -90,7 +90,7 @@
 // other's job that began the same time apart.
 func (c *crash) repeats(o *crash) bool {
 	last := c.unit.commonCause
-	return last.job == o.unit.job && (c.startsApart(o)-last.apart).Abs() < sameTime
+	return last.job == o.unit.job && (c.startsApart(o)-last.apart).Abs() < maxRestartsApart
 }
 
 // commonCause is what shows that the crash that ended a run has a common cause with another: the
--- a/internal/fleet/planner/crash.go
+++ b/internal/fleet/planner/crash.go
@@ -104,7 +104,8 @@
 }
 
 // excusedStarts returns how many of the last starts do not count: those that certainly began
-// nothing, and one that ended without a crash or with a worker that has not returned.
+// nothing or ended in a crash with a common cause, and one that ended without a crash or with
+// a worker that has not returned.
 func (u *unit) excusedStarts() int64 {
 	if u.reportedRun > 0 || u.isResolveOver() {
 		return u.unstarted + 1
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -113,8 +113,9 @@
 	// last.
 	losses                 []LossRecord
 	suspect, hasLastStarts bool
-	// unstarted is the number of the last starts that began nothing, and reportedRun a run of
-	// them that ended without a crash; 0 for none.
+	// unstarted is the number of the last starts that do not count, since they began nothing or
+	// ended in a crash with a common cause. reportedRun is a run of them that ended without a
+	// crash; 0 for none.
 	unstarted, reportedRun int64
 	// isolated reports whether the current run has its workers to itself; isolateUntil is
 	// the time until which the unit waits for such workers, zero before it first waits.
