--- a/internal/fleet/planner/isolation.go
+++ b/internal/fleet/planner/isolation.go
@@ -52,8 +52,9 @@
 }
 
 // heldBack reports whether a suspected unit waits until it is known whether its losses are
-// crashes, or until others of its job have run for probationTime. One more may be on probation
-// than have passed it.
+// crashes and have a common cause, until it starts apart from units that were lost with it, or
+// until others of its job have run for probationTime. One more may be on probation than have
+// passed it.
 func (v *view) heldBack(u *unit) bool {
 	if !u.suspect {
 		return false
