Excuse a pair of jobs once for starts that are equally far apart

Cause: restarts up to 0.4 s apart count as one moment, so the starts of two tasks with fixed delays may differ by 0.8 s between two such moments, but only differences under 0.4 s were taken for the same.

Change: restarts up to 0.3 s apart, and twice that for the starts, which stays under the 0.9 s between the two start delays.

--- a/internal/fleet/planner/commoncause.go
+++ b/internal/fleet/planner/commoncause.go
@@ -16,7 +16,7 @@
 const (
 	// maxRestartsApart bounds the time, by the workers' clocks, between restarts of workers that
 	// may have a common cause.
-	maxRestartsApart = 400 * time.Millisecond
+	maxRestartsApart = 300 * time.Millisecond
 	// minStartsApart is the least time between the starts of two runs that begin apart. It is
 	// over maxRestartsApart, so that two tasks that crash their workers after the same delay
 	// don't seem to have a common cause.
@@ -87,10 +87,11 @@
 func (c *crash) startsApart(o *crash) time.Duration { return c.loss.startedAt.Sub(o.loss.startedAt) }
 
 // repeats reports whether the last loss of the unit that was dropped was so for a run of the
-// other's job that began the same time apart.
+// other's job that began the same time apart: two crashes of tasks with fixed delays, of which
+// each pair may be maxRestartsApart, differ in that by twice as much at most.
 func (c *crash) repeats(o *crash) bool {
 	last := c.unit.commonCause
-	return last.job == o.unit.job && (c.startsApart(o)-last.apart).Abs() < maxRestartsApart
+	return last.job == o.unit.job && (c.startsApart(o)-last.apart).Abs() <= 2*maxRestartsApart
 }
 
 // commonCause is what shows that the crash that ended a run has a common cause with another: the
