Compute the use of a service once for its overdue units

hasRoomForOverdue summed the capacity of all workers for each overdue unit in each pass. In a busy service, where overdue units are many, the answer is the same for all: capacity only shrinks during a call.

--- a/internal/decide/placement/overdue.go
+++ b/internal/decide/placement/overdue.go
@@ -37,10 +37,18 @@
 		return
 	}
 	decided := p.decided()
+	// Free capacity only shrinks during a call, so a service that is busy remains so.
+	busy := make(map[string]bool)
 	defer func() { p.relaxed = 0 }()
 	for i := range p.in.Waiting {
 		u := &p.in.Waiting[i]
-		if !u.Overdue || decided[i] || !p.hasRoomForOverdue(u) {
+		if !u.Overdue || decided[i] {
+			continue
+		}
+		if !u.LongRunning {
+			busy[u.Service] = busy[u.Service] || p.isBusy(u.Service)
+		}
+		if !u.LongRunning && busy[u.Service] || !p.hasRoomForOverdue(u) {
 			continue
 		}
 		if ws := p.findRelaxed(u); ws != nil {
@@ -65,21 +73,29 @@
 	return nil
 }
 
-// hasRoomForOverdue reports whether an overdue unit must not wait: the free capacity of the
-// workers that accept orders suffices for it overdueRoom times and, unless it is
-// long-running, less than overdueUsedShare of its service's capacity is in use.
-func (p *plan) hasRoomForOverdue(u *Unit) bool {
+// isBusy reports whether overdueUsedShare of a service's capacity is in use.
+func (p *plan) isBusy(service string) bool {
 	var capacity, free model.Shape
+	for w := range p.in.Workers {
+		if x := &p.in.Workers[w]; x.Service == service {
+			capacity, free = capacity.Plus(x.Capacity), free.Plus(p.free[w])
+		}
+	}
+	return capacity.Minus(free).ShareOf(capacity) >= overdueUsedShare
+}
+
+// hasRoomForOverdue reports whether the free capacity of the workers that accept orders
+// suffices for a unit overdueRoom times.
+func (p *plan) hasRoomForOverdue(u *Unit) bool {
 	fits := 0
 	for w := range p.in.Workers {
 		x := &p.in.Workers[w]
-		if x.Service != u.Service {
-			continue
-		}
-		capacity, free = capacity.Plus(x.Capacity), free.Plus(p.free[w])
-		if x.Reachable && x.HasLabel(u.Label) {
+		if x.Reachable && x.Service == u.Service && x.HasLabel(u.Label) {
 			fits += CountFits(u.Shape, p.free[w], overdueRoom*u.Tasks)
 		}
+		if fits >= overdueRoom*u.Tasks {
+			return true
+		}
 	}
-	return fits >= overdueRoom*u.Tasks && (u.LongRunning || capacity.Minus(free).ShareOf(capacity) < overdueUsedShare)
+	return false
 }
