--- a/internal/fleet/planner/commoncause.go
+++ b/internal/fleet/planner/commoncause.go
@@ -149,9 +149,9 @@
 // other jobs that were lost with it: every second one of them is delayed.
 func (t *term) markLostTogether(u *unit, address string) {
 	now := boottime.Now()
-	t.losses = slices.DeleteFunc(t.losses, func(o recentLoss) bool { return now.Sub(o.at) > lostTogether })
+	t.recentLosses = slices.DeleteFunc(t.recentLosses, func(o recentLoss) bool { return now.Sub(o.at) > lostTogether })
 	r := recentLoss{job: u.job, address: address, at: now}
-	for _, o := range slices.Backward(t.losses) {
+	for _, o := range slices.Backward(t.recentLosses) {
 		if o.job == u.job || o.address == address {
 			continue
 		}
@@ -160,7 +160,7 @@
 		}
 		break
 	}
-	t.losses = append(t.losses, r)
+	t.recentLosses = append(t.recentLosses, r)
 }
 
 // delaysStart reports whether a unit that could start does so later. Its wait for workers of its
--- a/internal/fleet/planner/isolation.go
+++ b/internal/fleet/planner/isolation.go
@@ -148,14 +148,11 @@
 	if !w.Schedulable || w.Service != u.job.queue.Service || !w.HasLabel(s.Label) {
 		return 0
 	}
-	free, n := w.Free, 0
+	free := w.Free
 	if empty {
 		free = w.Capacity
 	}
-	for ; n < u.tasks() && s.CountedShape().Fits(free); n++ {
-		free = free.Minus(s.CountedShape())
-	}
-	return n
+	return placement.CountFits(s.CountedShape(), free, u.tasks())
 }
 
 // avoidIsolated makes a unit that waits avoid the workers of isolated units, for a limited
--- a/internal/fleet/planner/read.go
+++ b/internal/fleet/planner/read.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -28,18 +29,11 @@
 // which is safe because only this term writes run records.
 func (t *term) readRecords() (specs []store.Item, jobsRevision int64, runs, sizes []store.Item, err error) {
 	var runsErr, sizesErr error
-	done := make(chan struct{}, 2)
-	go func() {
-		runs, _, runsErr = t.readAll(store.RunPrefix)
-		done <- struct{}{}
-	}()
-	go func() {
-		sizes, _, sizesErr = t.readAll(store.SizesKey)
-		done <- struct{}{}
-	}()
-	specs, jobsRevision, err = t.readAll(store.JobPrefix)
-	<-done
-	<-done
+	var wg sync.WaitGroup
+	wg.Go(func() { specs, jobsRevision, err = t.readAll(store.JobPrefix) })
+	wg.Go(func() { runs, _, runsErr = t.readAll(store.RunPrefix) })
+	wg.Go(func() { sizes, _, sizesErr = t.readAll(store.SizesKey) })
+	wg.Wait()
 	return specs, jobsRevision, runs, sizes, cmp.Or(err, runsErr, sizesErr)
 }
 
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -63,10 +63,10 @@
 	unacked map[*worker]bool
 	// lossy are the units with losses that are not done.
 	lossy map[*unit]bool
-	// crashes are the last crashes of workers under units, and losses the losses of the last
-	// moments.
+	// crashes are the last crashes of workers under units.
 	crashes []crash
-	losses  []recentLoss
+	// recentLosses are the losses of the last moments.
+	recentLosses []recentLoss
 	// explainedAt is when the long-waiting units were last logged.
 	explainedAt time.Time
 	// causesAt is when the causes of waiting units were last determined again, and
