--- a/internal/fleet/entry/refusals_test.go
+++ b/internal/fleet/entry/refusals_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,24 +11,13 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/entry"
-	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
 )
 
-const (
-	// readsPerSecond, fleetJobs and callerWaits are those of the users' deployment: its
-	// reads_per_s, the jobs of a day and the time that callers wait.
-	readsPerSecond = 2000
-	fleetJobs      = 700
-	callerWaits    = 3 * time.Second
-	askingTime     = 3 * time.Second
-	pollInterval   = 700 * time.Millisecond
-)
+// readsPerSecond is the users' reads_per_s.
+const readsPerSecond = 2000
 
 // limiter refuses reads beyond readsPerSecond in the last second, in which refused reads
 // count too.
@@ -84,14 +71,6 @@
 
 func (a accesses) Relays() []path.Access { return a }
 
-// silentPlanner is a planner that does not answer.
-type silentPlanner struct{ fixed }
-
-func (*silentPlanner) State(ctx context.Context, _ string) (model.JobState, bool, error) {
-	<-ctx.Done()
-	return "", false, fault.Wrap(fault.Unreachable, ctx.Err(), "no answer")
-}
-
 // TestRefusedReadsDoNotKeepStoreRefusing checks that state queries for all jobs, while the
 // planner does not answer, get answers in time once a store that refused reads is well again.
 func TestRefusedReadsDoNotKeepStoreRefusing(t *testing.T) {
@@ -102,70 +81,20 @@
 		t.Run(fmt.Sprintf("%d VMs, %v refused", c.vms, c.refused), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w, limit := world.New(1, 1, world.Bounds{MaxLease: time.Second}), &limiter{}
-				cfg := &silentPlanner{fixed{&model.Config{Version: 1, Queues: []model.Queue{{Name: "q", Prefix: "/q/", Public: true}}}}}
-				log := slog.New(slog.DiscardHandler)
-				paths := make([]*path.Path, c.vms)
-				links := make([]*world.Link, c.vms)
-				for i := range paths {
-					links[i] = w.Link(fmt.Sprint(i), "store")
-					view := &world.View{Store: w.Store, Link: links[i]}
-					paths[i] = &path.Path{Direct: path.Direct{Store: &limited{view, limit}}, ProbeKey: store.LockKey, Log: log, Meter: &meter.Meter{}}
-				}
-				ctx, cancel := context.WithCancel(t.Context())
-				defer func() { cancel(); time.Sleep(world.MaxCall) }()
-				services := make([]*entry.JobService, c.vms)
-				for i, p := range paths {
-					var peers accesses
-					for k := 1; k < c.vms; k++ {
-						peers = append(peers, paths[(i+k)%c.vms].DirectOnly())
-					}
-					p.Relays = peers
-					services[i] = &entry.JobService{Config: cfg, Planner: cfg, Store: p, Log: log, Meter: &meter.Meter{}}
-					go p.Run(ctx)
-					go func() {
-						pause.For(ctx, time.Duration(i)*pollInterval/time.Duration(c.vms))
-						for ctx.Err() == nil {
-							_, _, _ = path.Hedged{Path: p}.Changes(ctx, "op/config", 1)
-							pause.For(ctx, pollInterval)
-						}
-					}()
-				}
-				for j := range fleetJobs {
-					w.Store.Put(store.SpecKey(fmt.Sprintf("%016x", j)), []byte("{}"))
-				}
-				// ask asks for the states of all jobs within askingTime, and returns how many got no answer.
-				ask := func() int64 {
-					var failed atomic.Int64
-					var queries sync.WaitGroup
-					for j := range fleetJobs {
-						queries.Go(func() {
-							ctx, cancel := context.WithTimeout(ctx, callerWaits)
-							defer cancel()
-							js := services[j%c.vms]
-							target, err := js.Find(ctx, entry.Call{Path: fmt.Sprintf("/q/%016x", j)})
-							if err == nil {
-								_, err = js.State(ctx, target)
-							}
-							if err != nil {
-								failed.Add(1)
-							}
-						})
-						time.Sleep(askingTime / fleetJobs)
-					}
-					queries.Wait()
-					return failed.Load()
-				}
-				for _, l := range links {
+				limit := &limiter{}
+				f := newVMs(t, c.vms, func(s store.Store) store.Store { return &limited{s, limit} },
+					func(_ int, others []path.Access) path.Relays { return accesses(others) })
+				defer f.stop()
+				for _, l := range f.links {
 					l.Set(world.Faults{Refuse: c.refused})
 				}
 				during := make(chan int64)
-				go func() { during <- ask() }()
+				go func() { during <- f.ask() }()
 				time.Sleep(askingTime)
-				for _, l := range links {
+				for _, l := range f.links {
 					l.Set(world.Faults{})
 				}
-				after := ask()
+				after := f.ask()
 				limit.mu.Lock()
 				defer limit.mu.Unlock()
 				t.Logf("without an answer: %d while refused, %d after; at most %d reads in a second", <-during, after, limit.most)
