Log why a readiness check fails, and the steps of a refused state query

The VMs' logs could not tell a VM that answers 503 from one that is frozen or without processor time, nor from one that is cut off: the first left a counter, the others nothing.

No decision changes.

--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -274,6 +274,7 @@
 	if plannerErr == nil && known {
 		return s, js.recheck(&t)
 	}
+	plannerTook := time.Since(began)
 	if plannerErr != nil {
 		js.Meter.Inc("state_from_store")
 	}
@@ -288,6 +289,9 @@
 			return "", err
 		}
 		if !pauseFor(ctx, retryPause) {
+			js.Meter.Inc("state_unanswered")
+			js.Log.Warn("state not read", "job", t.JobID, "planner_error", plannerErr, "planner_ms", plannerTook.Milliseconds(),
+				"attempts", attempt, "error", err, "took_ms", time.Since(began).Milliseconds())
 			return "", &RetryLaterError{fault.Wrap(fault.StoreUnavailable, err, "state"), retryAfter}
 		}
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -63,6 +63,7 @@
 	planner    *planner.Planner
 	jobService *entry.JobService
 	callerAPI  *echo.Echo
+	health     *health
 	stopping   atomic.Bool
 	// activeCalls counts the calls of callers in progress.
 	activeCalls atomic.Int64
@@ -98,6 +99,7 @@
 		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
 		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
+	n.health = &health{log: n.Log, meter: n.Meter, notReady: n.notReady}
 	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes, Log: n.Log, Meter: n.Meter}
 }
 
@@ -108,9 +110,17 @@
 // report that it is ready.
 const isolationLimit = 1500 * time.Millisecond
 
-// isReady reports whether the VM accepts new connections.
-func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.follower.Current() != nil && !n.path.Isolated(isolationLimit)
+// notReady returns why the VM accepts no new connections, and the empty string when it does.
+func (n *Node) notReady() string {
+	switch {
+	case n.stopping.Load():
+		return reasonStopping
+	case n.follower.Current() == nil:
+		return reasonNoConfig
+	case n.path.Isolated(isolationLimit):
+		return reasonIsolated
+	}
+	return ""
 }
 
 // Run serves until ctx ends, then performs a planned stop. It returns an error of
@@ -125,6 +135,7 @@
 	electionDone := make(chan struct{})
 	lockCtx, releaseLock := context.WithCancel(tasksCtx)
 	defer releaseLock()
+	go n.supervise(tasksCtx, "examine health", n.health.run)
 	go n.supervise(tasksCtx, "reach the store", n.path.Run)
 	go n.supervise(tasksCtx, "follow the configuration", n.follower.Run)
 	go n.supervise(tasksCtx, "announce", n.syncMembers)
@@ -259,7 +270,7 @@
 }
 
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if n.isReady() {
+	if n.health.check() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
