Read a state by the next route while the one before is silent

A state that the planner does not answer in 0.5 s was read from the store in two readings one after the other. Each waited 1.2 s for the direct route and then up to 1.3 s for each of two peers, so a VM that had just lost the store in silence and whose first peer had lost it too used up the 2.85 s that it has. Nothing was learnt from the silence before a time-out.

A read now goes on to the next route after 0.2 s without the beginning of a response (twice the time of the last direct call, at most 0.6 s, so that a slow store gets few further reads), and to at most 8 peers; both readings are made at the same time. A route that is silent while a later one has responded is not tried first by the next calls: the direct route counts as failing and is probed, a peer goes to the end of the order.

The readings of the configuration keep their order of two peers, since their values may be large and a peer begins to respond only when it has all of it.

TestOutdatedFailureIsIgnored has no peer any more: one that responds while the direct route does not shows now that this fails. What it checks, a failure that ends after a later success, is the same.

--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -72,6 +72,8 @@
 	mu sync.Mutex
 	// lastDirect and lastRelay are the times of the last success by each route.
 	lastDirect, lastRelay time.Time
+	// lastDirectTook is how long the last successful direct call took.
+	lastDirectTook time.Duration
 	// relayFailed is the time at which all peers last failed.
 	relayFailed time.Time
 	// directFailing reports that the last direct call failed: calls go to peers first until
@@ -132,16 +134,6 @@
 	return revision, current, err
 }
 
-// Get reads a key.
-func (p *Path) Get(ctx context.Context, key string) (store.Item, bool, error) {
-	return route(p.tryRoutes).Get(ctx, key)
-}
-
-// Range reads the keys below a prefix.
-func (p *Path) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
-	return route(p.tryRoutes).Range(ctx, prefix)
-}
-
 // Changes reads the keys below a prefix that changed after a revision.
 func (p *Path) Changes(ctx context.Context, prefix string, after int64) ([]store.Item, int64, error) {
 	return route(p.tryRoutes).Changes(ctx, prefix, after)
@@ -254,6 +246,7 @@
 			p.Log.Info("store reached again", "failed_ms", time.Since(p.failingSince).Milliseconds())
 		}
 		p.lastDirect, p.directFailing, p.refusals = time.Now(), false, 0
+		p.lastDirectTook = time.Since(began)
 		return
 	}
 	if errors.Is(err, store.ErrTooManyCalls) {
@@ -278,9 +271,7 @@
 		err := call(callCtx, a)
 		cancel()
 		if storeResponded(err) {
-			p.mu.Lock()
-			p.lastRelay, p.noPeerResponded = time.Now(), false
-			p.mu.Unlock()
+			p.recordRelayed()
 			return err
 		}
 		if !read && !fault.Is(err, fault.StoreUnavailable) {
@@ -289,10 +280,23 @@
 		responded = responded || !fault.Is(err, fault.Unreachable)
 		lastErr = err
 	}
+	p.recordPeersFailed(responded)
+	return fault.Wrap(fault.StoreUnavailable, lastErr, "relay")
+}
+
+// recordRelayed records that the store has responded to a call through a peer.
+func (p *Path) recordRelayed() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastRelay, p.noPeerResponded = time.Now(), false
+}
+
+// recordPeersFailed records that the store has responded through none of the peers tried,
+// and whether one of these has responded itself.
+func (p *Path) recordPeersFailed(responded bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.noPeerResponded, p.relayFailed = !responded, time.Now()
-	p.mu.Unlock()
-	return fault.Wrap(fault.StoreUnavailable, lastErr, "relay")
 }
 
 // Run probes the store while the direct route fails, until ctx ends.
--- a/internal/fleet/path/path_test.go
+++ b/internal/fleet/path/path_test.go
@@ -180,6 +180,7 @@
 		access := &slow{Access: s.direct}
 		access.hangs.Store(true)
 		s.path.Direct = access
+		s.relays.list = nil // a response through a peer would show that the direct route fails
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -340,3 +341,67 @@
 		is.Equal(l.gets.Load(), int64(3))
 	})
 }
+
+// TestSilentRouteIsNotTriedFirst checks that a VM whose store does not respond, while a peer
+// responds, uses the peer first until the store responds again.
+func TestSilentRouteIsNotTriedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFixture()
+		defer s.stop()
+		s.world.Link("a", "store").Cut(true)
+		_, _, err := s.path.Get(t.Context(), "k")
+		is.NoErr(err)
+		began := time.Now()
+		_, _, err = s.path.Get(t.Context(), "k")
+		is.NoErr(err)
+		is.True(time.Since(began) < 100*time.Millisecond)
+		is.NoErr(s.apply("k1"))
+		is.Equal(s.direct.applies, 0)
+		s.world.Link("a", "store").Cut(false)
+		time.Sleep(250 * time.Millisecond)
+		is.NoErr(s.apply("k2"))
+		is.Equal(s.direct.applies, 1)
+	})
+}
+
+// countedReads counts the reads by a route.
+type countedReads struct {
+	path.Access
+	gets *atomic.Int64
+}
+
+func (c countedReads) Get(ctx context.Context, key string) (store.Item, bool, error) {
+	c.gets.Add(1)
+	return c.Access.Get(ctx, key)
+}
+
+// TestSlowStoreGetsFewFurtherReads checks that a store which takes 200 times as long as usual
+// is not read by one route after another.
+func TestSlowStoreGetsFewFurtherReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFixture()
+		defer s.stop()
+		for _, vm := range []string{"a", "b"} {
+			s.world.Link(vm, "store").SetExtraLatency(800 * time.Millisecond)
+		}
+		var gets atomic.Int64
+		s.path.Direct = countedReads{s.direct, &gets}
+		s.relays.list = nil
+		for range 8 {
+			s.relays.list = append(s.relays.list, countedReads{s.peerRoute.DirectOnly(), &gets})
+		}
+		const reads = 20
+		for range reads {
+			_, _, err := s.path.Get(t.Context(), "k")
+			is.NoErr(err)
+		}
+		is.True(gets.Load() <= 2*reads+maxFirstHedges)
+		is.NoErr(s.apply("k1"))
+		is.Equal(s.direct.applies, 1) // the direct route does not fail
+	})
+}
+
+// maxFirstHedges is how often a read is repeated before the time of a response is known.
+const maxFirstHedges = 4
