Ask further peers when one has lost the store in silence too

A peer that can't reach the store now says so ("not called"), as an error header and a field that earlier builds ignore. Where a route is silent, such peers do not count towards the two refusals: they have lost the store with this VM, and asking them costs the store nothing. Where the store refuses, the limit stays. The two readings follow each other again; the second finds the route of the first. Two silent peers no longer make a VM refuse calls at once for 0.25 s as if all had been tried.

A peer that refuses a change is asked last by the next one, as after a refused read: TestPeerThatRefusesChangeIsNotAskedFirst failed before.

--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"sync"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -300,13 +299,7 @@
 
 // stateFromStore derives the state of a job from its records in the store.
 func (js *JobService) stateFromStore(ctx context.Context, id string) (model.JobState, error) {
-	var run store.Item
-	var ran bool
-	var runErr error
-	var reading sync.WaitGroup
-	reading.Go(func() { run, ran, runErr = js.Store.Get(ctx, store.RunKey(id)) })
 	items, _, err := js.Store.Range(ctx, store.JobPrefix+id+"/")
-	reading.Wait()
 	if err != nil {
 		return "", err
 	}
@@ -318,13 +311,14 @@
 	if !accepted {
 		return "", fault.New(fault.JobUnknown, "no such job")
 	}
-	if runErr != nil {
-		return "", runErr
+	it, found, err := js.Store.Get(ctx, store.RunKey(id))
+	if err != nil {
+		return "", err
 	}
-	if !ran {
+	if !found {
 		return planner.RecordedState(cancelled, nil), nil
 	}
-	r, err := planner.DecodeRunRecord(run.Value)
+	r, err := planner.DecodeRunRecord(it.Value)
 	if err != nil {
 		return "", err
 	}
--- a/internal/fleet/entry/vms_test.go
+++ b/internal/fleet/entry/vms_test.go
@@ -92,6 +92,16 @@
 	return items, at, err
 }
 
+func (p *testPeer) Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error) {
+	revision, current, err := p.Access.Apply(ctx, t)
+	if fault.Is(err, fault.Conflict) {
+		p.record(nil)
+		return revision, current, err
+	}
+	p.record(err)
+	return revision, current, err
+}
+
 func (p *testPeer) Changes(ctx context.Context, prefix string, after int64) ([]store.Item, int64, error) {
 	items, at, err := p.Access.Changes(ctx, prefix, after)
 	p.record(err)
@@ -149,26 +159,34 @@
 	time.Sleep(world.MaxCall)
 }
 
-// ask asks for the states of all jobs within askingTime, at all VMs in turn, and returns
-// how many got no answer.
+// ask asks for the states of all jobs and returns how many queries got no answer.
 func (f *vms) ask() int64 {
+	return f.callAll(func(ctx context.Context, js *entry.JobService, t entry.Target) error {
+		_, err := js.State(ctx, t)
+		return err
+	})
+}
+
+// callAll makes a call about each job within askingTime, at all VMs in turn, and returns how
+// many failed or took longer than callers wait.
+func (f *vms) callAll(call func(ctx context.Context, js *entry.JobService, t entry.Target) error) int64 {
 	var failed atomic.Int64
-	var queries sync.WaitGroup
+	var calls sync.WaitGroup
 	for j := range fleetJobs {
-		queries.Go(func() {
+		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callerWaits)
 			defer cancel()
 			js := f.services[j%len(f.services)]
 			target, err := js.Find(ctx, entry.Call{Path: fmt.Sprintf("/q/%016x", j)})
 			if err == nil {
-				_, err = js.State(ctx, target)
+				err = call(ctx, js, target)
 			}
-			if err != nil {
+			if err != nil || ctx.Err() != nil {
 				failed.Add(1)
 			}
 		})
 		time.Sleep(askingTime / fleetJobs)
 	}
-	queries.Wait()
+	calls.Wait()
 	return failed.Load()
 }
--- /dev/null
+++ b/internal/fleet/path/attempts.go
@@ -0,0 +1,239 @@
+package path
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+)
+
+const (
+	// maxHedgeDelay bounds the delay after which a call is also made by another route. A
+	// caller who waits for 3 s has time for several.
+	maxHedgeDelay = 600 * time.Millisecond
+	// maxHedgeRelays bounds the number of peers tried for one call.
+	maxHedgeRelays = 8
+)
+
+// response is the response of the store to a call.
+type response struct {
+	item  store.Item
+	found bool
+	items []store.Item
+	// revision is that of the store.
+	revision int64
+	err      error
+}
+
+// repeatableCall is a call that may be made by several routes at the same time: a read, or
+// a change that takes effect at most once.
+type repeatableCall func(ctx context.Context, a Access) response
+
+// Get reads a key.
+func (p *Path) Get(ctx context.Context, key string) (store.Item, bool, error) {
+	r := p.read(ctx, func(ctx context.Context, a Access) (r response) {
+		r.item, r.found, r.err = a.Get(ctx, key)
+		return r
+	})
+	return r.item, r.found, r.err
+}
+
+// Range reads the keys below a prefix.
+func (p *Path) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	r := p.read(ctx, func(ctx context.Context, a Access) (r response) {
+		r.items, r.revision, r.err = a.Range(ctx, prefix)
+		return r
+	})
+	return r.items, r.revision, r.err
+}
+
+func (p *Path) read(ctx context.Context, c repeatableCall) response {
+	r, _ := p.newAttempts(ctx, 0, c).run(ctx)
+	if !storeResponded(r.err) {
+		r.err = fault.Wrap(fault.StoreUnavailable, r.err, "read")
+	}
+	return r
+}
+
+// hedgeDelay returns the time without a response after which a call is also made by another
+// route. It is longer while the store is slow, so that such a store gets few further calls.
+func (p *Path) hedgeDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(hedgeDelay, 2*p.lastDirectTook), maxHedgeDelay)
+}
+
+// attempt is the attempt of a call by one route.
+type attempt struct {
+	direct bool
+	began  time.Time
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+	// response is valid once the attempt has ended.
+	response response
+}
+
+// attempts are the attempts of one call.
+type attempts struct {
+	path     *Path
+	call     repeatableCall
+	transfer time.Duration
+	// ctx does not end with that of the caller, since ending an attempt would count as a
+	// failure of its route.
+	ctx     context.Context
+	all     []*attempt
+	pending int
+	ended   chan *attempt
+	// begun receives a value when the response to an attempt begins.
+	begun chan struct{}
+	// directFirst reports that the direct route did not fail when the call began.
+	directFirst, directTried bool
+	// peers are those that have not been tried; nil before they are listed.
+	peers []Access
+	// refusals counts the calls through peers that were refused. Peers that can't reach the
+	// store do not count if silent is set: others of them have lost it in silence too.
+	refusals int
+	// silent reports that a route does not respond, rather than refuses.
+	silent bool
+	// peerResponded reports that a peer has responded.
+	peerResponded bool
+}
+
+func (p *Path) newAttempts(ctx context.Context, transfer time.Duration, c repeatableCall) *attempts {
+	s := &attempts{
+		path: p, call: c, transfer: transfer, ended: make(chan *attempt, 1+maxHedgeRelays), begun: make(chan struct{}, 1),
+		directFirst: !p.isDirectFailing(), silent: p.isDirectSilent(),
+	}
+	s.ctx = httptrace.WithClientTrace(context.WithoutCancel(ctx), &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		select {
+		case s.begun <- struct{}{}:
+		default:
+		}
+	}})
+	return s
+}
+
+// run makes the call by one route after another: directly, then through peers, or through
+// peers first while the direct route fails. The next attempt begins when one has failed, or
+// when none has begun to respond within the hedge delay, since a route on which calls get
+// no response fails only by its timeout. run returns the first response of the store, or the
+// last error and whether an attempt may yet take effect.
+func (s *attempts) run(ctx context.Context) (r response, unanswered bool) {
+	p := s.path
+	if p.allRoutesFailing() {
+		p.Meter.Inc("store_refused_at_once")
+		return response{err: fault.New(fault.StoreUnavailable, "the store is unreachable, directly and through peers")}, false
+	}
+	s.startNext()
+	hedge := time.NewTimer(p.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-s.ended:
+			s.pending--
+			if storeResponded(a.response.err) {
+				s.recordResponse(a)
+				return a.response, false
+			}
+			unanswered = unanswered || !fault.Is(a.response.err, fault.StoreUnavailable)
+			s.recordFailure(a)
+			if !s.startNext() && s.pending == 0 {
+				p.recordPeersFailed(s.peerResponded, true)
+				return a.response, unanswered
+			}
+			hedge.Reset(p.hedgeDelay())
+		case <-s.begun:
+			hedge.Stop()
+		case <-hedge.C:
+			s.silent = true
+			if s.startNext() {
+				p.Meter.Inc("store_call_hedged")
+			}
+			hedge.Reset(p.hedgeDelay())
+		case <-ctx.Done():
+			return response{err: fault.Wrap(fault.Unreachable, ctx.Err(), "no response by any route")}, true
+		}
+	}
+}
+
+// startNext begins an attempt by the next route, and reports whether there is one.
+func (s *attempts) startNext() bool {
+	if !s.directTried && s.directFirst {
+		s.startDirect()
+		return true
+	}
+	if s.peers == nil {
+		list := s.path.Relays.Relays()
+		s.peers = append([]Access{}, list[:min(len(list), maxHedgeRelays)]...)
+	}
+	// The direct route may have recovered, but more likely a further peer responds.
+	if !s.directTried && (len(s.peers) == 0 || len(s.all) >= maxRelays) && !s.path.backsOff() {
+		s.startDirect()
+		return true
+	}
+	// Many attempts could alone exceed the rate of calls that the store accepts.
+	if len(s.peers) == 0 || s.refusals >= maxRelays {
+		return false
+	}
+	peer := s.peers[0]
+	s.peers = s.peers[1:]
+	s.path.Meter.Inc("store_relayed")
+	s.start(false, relayTimeout+2*s.transfer, func(ctx context.Context) response { return s.call(ctx, peer) })
+	return true
+}
+
+func (s *attempts) startDirect() {
+	s.directTried = true
+	s.start(true, directTimeout+s.transfer, func(ctx context.Context) (r response) {
+		_ = s.path.callDirect(ctx, s.transfer, func(ctx context.Context, a Access) error {
+			r = s.call(ctx, a)
+			return r.err
+		})
+		return r
+	})
+}
+
+func (s *attempts) start(direct bool, timeout time.Duration, do func(ctx context.Context) response) {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	a := &attempt{direct: direct, began: time.Now(), cancel: cancel}
+	s.all = append(s.all, a)
+	s.pending++
+	go func() {
+		defer cancel()
+		a.response = do(ctx)
+		s.ended <- a
+	}()
+}
+
+// recordResponse records that the store has responded to an attempt. The routes of earlier
+// attempts that have not ended are not to be tried first by the next calls. Later attempts
+// go on: they have had less time.
+func (s *attempts) recordResponse(a *attempt) {
+	if !a.direct {
+		s.path.recordRelayed()
+	}
+	for _, earlier := range s.all {
+		if earlier == a {
+			return
+		}
+		if earlier.direct {
+			s.path.record(earlier.began, fault.New(fault.StoreUnavailable, "no response for %v, while a peer responded", time.Since(earlier.began)))
+		} else {
+			earlier.cancel()
+		}
+	}
+}
+
+// recordFailure records that an attempt has failed.
+func (s *attempts) recordFailure(a *attempt) {
+	if a.direct || fault.Is(a.response.err, fault.Unreachable) {
+		return
+	}
+	s.peerResponded = true
+	if !s.silent || !errors.Is(a.response.err, ErrNotCalled) {
+		s.refusals++
+	}
+}
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -42,6 +42,10 @@
 	relayBackoff = 250 * time.Millisecond
 )
 
+// ErrNotCalled is wrapped by the error of a call that a relaying VM has not made, since its
+// direct route to the store fails.
+var ErrNotCalled = errors.New("the relaying VM can't reach the store")
+
 // Access is the part of the store's interface that serving callers needs.
 type Access interface {
 	Get(ctx context.Context, key string) (store.Item, bool, error)
@@ -74,11 +78,13 @@
 	lastDirect, lastRelay time.Time
 	// lastDirectTook is how long the last successful direct call took.
 	lastDirectTook time.Duration
-	// relayFailed is the time at which all peers last failed.
+	// relayFailed is the time at which all peers last failed, or as many as are tried.
 	relayFailed time.Time
 	// directFailing reports that the last direct call failed: calls go to peers first until
 	// a direct one succeeds.
 	directFailing bool
+	// directSilent reports that the last direct call that failed got no response.
+	directSilent bool
 	// failingSince is when the direct route began to fail, and lastErr its last error.
 	failingSince time.Time
 	lastErr      error
@@ -180,7 +186,7 @@
 
 func (p *Path) directOnly(ctx context.Context, _ bool, transfer time.Duration, call func(ctx context.Context, a Access) error) error {
 	if p.isDirectFailing() {
-		return fault.New(fault.StoreUnavailable, "the relaying VM can't reach the store")
+		return fault.Wrap(fault.StoreUnavailable, ErrNotCalled, "relay")
 	}
 	return p.callDirect(ctx, transfer, call)
 }
@@ -199,6 +205,13 @@
 	return p.directFailing
 }
 
+// isDirectSilent reports whether the direct route fails since its calls get no response.
+func (p *Path) isDirectSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.directFailing && p.directSilent
+}
+
 // backsOff reports whether no direct call may begin, since the store refused one for its
 // rate: the fleet's probes and repeated reads could alone exceed what the store accepts.
 func (p *Path) backsOff() bool {
@@ -257,17 +270,20 @@
 		p.failingSince = time.Now()
 	}
 	p.directFailing, p.lastErr = true, err
+	p.directSilent = time.Since(began) >= hedgeDelay
 }
 
 func (p *Path) callPeers(ctx context.Context, read bool, transfer time.Duration, call func(ctx context.Context, a Access) error) error {
 	var lastErr error = fault.New(fault.StoreUnavailable, "can't reach the store or a peer")
-	responded := false
-	for i, a := range p.Relays.Relays() {
+	responded, silent := false, false
+	peers := p.Relays.Relays()
+	for i, a := range peers {
 		if i >= maxRelays || ctx.Err() != nil {
 			break
 		}
 		p.Meter.Inc("store_relayed")
 		callCtx, cancel := context.WithTimeout(ctx, relayTimeout+2*transfer)
+		began := time.Now()
 		err := call(callCtx, a)
 		cancel()
 		if storeResponded(err) {
@@ -278,9 +294,10 @@
 			return err
 		}
 		responded = responded || !fault.Is(err, fault.Unreachable)
+		silent = silent || time.Since(began) >= hedgeDelay
 		lastErr = err
 	}
-	p.recordPeersFailed(responded)
+	p.recordPeersFailed(responded, !silent || len(peers) <= maxRelays)
 	return fault.Wrap(fault.StoreUnavailable, lastErr, "relay")
 }
 
@@ -292,11 +309,14 @@
 }
 
 // recordPeersFailed records that the store has responded through none of the peers tried,
-// and whether one of these has responded itself.
-func (p *Path) recordPeersFailed(responded bool) {
+// whether one of these has responded itself, and whether further peers are not to be tried.
+func (p *Path) recordPeersFailed(responded, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noPeerResponded, p.relayFailed = !responded, time.Now()
+	p.noPeerResponded = !responded
+	if all {
+		p.relayFailed = time.Now()
+	}
 }
 
 // Run probes the store while the direct route fails, until ctx ends.
--- a/internal/peer/vm/serve.go
+++ b/internal/peer/vm/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -41,8 +42,17 @@
 // not active.
 func plannerError(err error) error { return connect.NewError(connect.CodeFailedPrecondition, err) }
 
+// notCalledHeader is set on the error of a relayed read that was not sent to the store.
+const notCalledHeader = "Store-Not-Called"
+
 // storeError is the response to a relayed read that the store did not carry out.
-func storeError(err error) error { return connect.NewError(connect.CodeResourceExhausted, err) }
+func storeError(err error) error {
+	response := connect.NewError(connect.CodeResourceExhausted, err)
+	if errors.Is(err, path.ErrNotCalled) {
+		response.Meta().Set(notCalledHeader, "true")
+	}
+	return response
+}
 
 // SubmitJob implements NodeService.
 func (s *Service) SubmitJob(ctx context.Context, r *nodev1.SubmitJobRequest) (*nodev1.SubmitJobResponse, error) {
@@ -132,7 +142,7 @@
 	case fault.Is(err, fault.Conflict):
 		return &nodev1.RelayApplyResponse{Conflict: true, Current: toItems(current)}, nil
 	case fault.Is(err, fault.StoreUnavailable):
-		return &nodev1.RelayApplyResponse{Unavailable: true}, nil
+		return &nodev1.RelayApplyResponse{Unavailable: true, NotCalled: errors.Is(err, path.ErrNotCalled)}, nil
 	}
 	return nil, connect.NewError(connect.CodeUnknown, err)
 }
--- a/internal/peer/vm/vm.go
+++ b/internal/peer/vm/vm.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"net"
 	"net/http"
 	"sort"
@@ -154,11 +155,14 @@
 // when the peer responded that the store failed, and Unreachable when the peer could
 // not be reached.
 func (r *relay) readError(err error) error {
+	r.peers.recordResult(r.peer, err)
+	var response *connect.Error
+	if errors.As(err, &response) && response.Meta().Get(notCalledHeader) != "" {
+		return fault.Wrap(fault.StoreUnavailable, path.ErrNotCalled, "relay")
+	}
 	if connect.CodeOf(err) == connect.CodeResourceExhausted {
-		r.peers.recordResult(r.peer, err)
 		return fault.Wrap(fault.StoreUnavailable, err, "relay")
 	}
-	r.peers.recordResult(r.peer, err)
 	return fault.Wrap(fault.Unreachable, err, "relay")
 }
 
@@ -197,10 +201,17 @@
 		r.peers.recordResult(r.peer, err)
 		return 0, nil, fault.Wrap(fault.AnswerLost, err, "relay")
 	}
-	r.peers.recordResult(r.peer, nil)
+	var refusal error
 	switch {
+	case resp.GetNotCalled():
+		refusal = fault.Wrap(fault.StoreUnavailable, path.ErrNotCalled, "relay")
 	case resp.GetUnavailable():
-		return 0, nil, fault.New(fault.StoreUnavailable, "the peer is turned away too")
+		refusal = fault.New(fault.StoreUnavailable, "the peer is turned away too")
+	}
+	r.peers.recordResult(r.peer, refusal)
+	switch {
+	case refusal != nil:
+		return 0, nil, refusal
 	case resp.GetConflict():
 		return 0, fromItems(resp.GetCurrent()), fault.New(fault.Conflict, "a condition did not hold")
 	}
--- a/internal/peer/vm/vm_test.go
+++ b/internal/peer/vm/vm_test.go
@@ -1,13 +1,20 @@
 package vm_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/path"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/peer/nodev1/nodev1connect"
 	"github.com/dogwoodworks/dogwoodworks/internal/peer/vm"
 )
 
@@ -61,3 +68,72 @@
 	p.Add("10.0.0.2")
 	is.Equal(len(p.Relays()), 1)
 }
+
+// notCalled is the access of a VM that can't reach the store.
+type notCalled struct{ path.Access }
+
+func (notCalled) Get(context.Context, string) (store.Item, bool, error) {
+	return store.Item{}, false, fault.Wrap(fault.StoreUnavailable, path.ErrNotCalled, "relay")
+}
+
+func (notCalled) Changes(context.Context, string, int64) ([]store.Item, int64, error) {
+	return nil, 0, fault.Wrap(fault.StoreUnavailable, path.ErrNotCalled, "relay")
+}
+
+func (notCalled) Apply(context.Context, store.Txn) (int64, []store.Item, error) {
+	return 0, nil, fault.Wrap(fault.StoreUnavailable, path.ErrNotCalled, "relay")
+}
+
+// TestRelayTellsThatStoreWasNotCalled checks that a VM learns from a peer that can't reach the
+// store itself that the store has not refused the call.
+func TestRelayTellsThatStoreWasNotCalled(t *testing.T) {
+	is := is.New(t)
+	mux := http.NewServeMux()
+	mux.Handle(nodev1connect.NewNodeServiceHandler(&vm.Service{Direct: notCalled{}}))
+	s := httptest.NewServer(mux)
+	defer s.Close()
+	address := s.Listener.Addr().(*net.TCPAddr)
+	peers := &vm.Peers{SelfIP: "10.0.0.1", Port: address.Port, HTTP: s.Client()}
+	peers.Add(address.IP.String())
+	relay := peers.Relays()[0]
+	_, _, err := relay.Get(t.Context(), "k")
+	is.True(errors.Is(err, path.ErrNotCalled))
+	_, _, err = relay.Range(t.Context(), "k")
+	is.True(errors.Is(err, path.ErrNotCalled))
+	_, _, err = relay.Apply(t.Context(), store.Txn{})
+	is.True(errors.Is(err, path.ErrNotCalled))
+	is.True(fault.Is(err, fault.StoreUnavailable))
+}
+
+// TestPeerThatRefusesChangeIsNotAskedFirst guards against changes that go to the same peer
+// again and again although it can't reach the store.
+func TestPeerThatRefusesChangeIsNotAskedFirst(t *testing.T) {
+	is := is.New(t)
+	transport := &answers{handlers: make(map[string]http.Handler)}
+	peers := &vm.Peers{SelfIP: "10.0.0.1", Port: 7000, HTTP: &http.Client{Transport: transport}}
+	for _, ip := range []string{"10.0.0.2", "10.0.0.3"} {
+		mux := http.NewServeMux()
+		mux.Handle(nodev1connect.NewNodeServiceHandler(&vm.Service{Direct: notCalled{}}))
+		transport.handlers[ip+":7000"] = mux
+		peers.Add(ip)
+	}
+	for range 2 {
+		_, _, err := peers.Relays()[0].Apply(t.Context(), store.Txn{})
+		is.True(err != nil)
+	}
+	is.Equal(len(transport.hosts), 2)
+	is.True(transport.hosts[0] != transport.hosts[1])
+}
+
+// answers is a transport to handlers by host, and records the hosts of the requests.
+type answers struct {
+	handlers map[string]http.Handler
+	hosts    []string
+}
+
+func (a *answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	a.hosts = append(a.hosts, r.URL.Host)
+	w := httptest.NewRecorder()
+	a.handlers[r.URL.Host].ServeHTTP(w, r)
+	return w.Result(), nil
+}
