Create keys by the next route while the one before is silent

The cause is that of the state queries: a write waited 1.2 s for the direct route, and was then not repeated since it might have been made. But the writes for callers only create keys that must not exist, so repeating them takes effect once; a conflict with the very value that was sent is the success of an earlier attempt. They now take the routes of the reads. An attempt whose response never came still makes the result unknown, and a route that is known to fail still gets no write. Changes of other kinds, of the planner, are as before.

--- a/internal/fleet/entry/silence_test.go
+++ b/internal/fleet/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/entry"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
 )
 
@@ -60,3 +63,29 @@
 		})
 	}
 }
+
+// TestChangesAreMadeWhileVMsLoseStoreInSilence guards against submissions and cancellations
+// without a definite answer when a part of the VMs has just lost the store.
+func TestChangesAreMadeWhileVMsLoseStoreInSilence(t *testing.T) {
+	for name, call := range map[string]func(ctx context.Context, js *entry.JobService, t entry.Target) error{
+		"submission": func(ctx context.Context, js *entry.JobService, t entry.Target) error {
+			t.JobID = "f" + t.JobID[1:] // a new job
+			return js.Submit(ctx, t, model.Job{ID: t.JobID, Steps: []model.Step{{Tasks: 1}}})
+		},
+		"cancellation": func(ctx context.Context, js *entry.JobService, t entry.Target) error { return js.Cancel(ctx, t) },
+	} {
+		for _, c := range []struct{ vms, cut int }{{8, 4}, {45, 15}, {45, 22}, {300, 100}} {
+			t.Run(fmt.Sprintf("%s, %d of %d VMs", name, c.cut, c.vms), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newVMs(t, c.vms, unwrapped, newTestPeers)
+					defer f.stop()
+					for i := range c.cut {
+						f.links[i*c.vms/c.cut].Cut(true)
+					}
+					is.Equal(f.callAll(call), int64(0))
+				})
+			})
+		}
+	}
+}
--- a/internal/fleet/path/attempts.go
+++ b/internal/fleet/path/attempts.go
@@ -1,6 +1,7 @@
 package path
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http/httptrace"
@@ -58,6 +59,48 @@
 	return r
 }
 
+// createTimeout bounds the creation of keys by all routes, besides the transfers of the
+// values. Its caller decides whether there is time for more.
+const createTimeout = relayTimeout
+
+// create makes a change that creates keys. Since each key must not exist before, the change
+// may be made by several routes and takes effect once. An error of kind Conflict means that
+// others created a key.
+func (p *Path) create(ctx context.Context, t store.Txn) (int64, []store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, createTimeout+2*t.TransferTime())
+	defer cancel()
+	a := p.newAttempts(ctx, t.TransferTime(), func(ctx context.Context, a Access) (r response) {
+		r.revision, r.items, r.err = a.Apply(ctx, t)
+		return r
+	})
+	// By a route that is known to fail it could become unknown whether the change was made.
+	a.directTried = !a.directFirst
+	r, unanswered := a.run(ctx)
+	switch {
+	case fault.Is(r.err, fault.Conflict) && len(a.all) > 1 && created(t, r.items):
+		return r.items[0].Revision, nil, nil
+	case storeResponded(r.err):
+		return r.revision, r.items, r.err
+	case unanswered:
+		return 0, nil, fault.Wrap(fault.AnswerLost, r.err, "create")
+	}
+	return 0, nil, fault.Wrap(fault.StoreUnavailable, r.err, "create")
+}
+
+// created reports whether current items are those that a change creates.
+func created(t store.Txn, current []store.Item) bool {
+	values := make(map[string][]byte, len(current))
+	for _, it := range current {
+		values[it.Key] = it.Value
+	}
+	for _, put := range t.Puts {
+		if value, found := values[put.Key]; !found || !bytes.Equal(value, put.Value) {
+			return false
+		}
+	}
+	return len(t.Puts) > 0
+}
+
 // hedgeDelay returns the time without a response after which a call is also made by another
 // route. It is longer while the store is slow, so that such a store gets few further calls.
 func (p *Path) hedgeDelay() time.Duration {
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -148,6 +148,9 @@
 // Apply makes a change. It returns an error of kind AnswerLost when an attempt got
 // no response; the next call uses the other route.
 func (p *Path) Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error) {
+	if t.OnlyCreates() {
+		return p.create(ctx, t)
+	}
 	return route(p.tryRoutes).Apply(ctx, t)
 }
 
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -63,6 +63,21 @@
 	return time.Duration(n) * time.Second / minBandwidth
 }
 
+// OnlyCreates reports whether all that the change does is to write keys that must not exist
+// before, so that it takes effect at most once however often it is made.
+func (t Txn) OnlyCreates() bool {
+	created := make(map[string]bool, len(t.Conditions))
+	for _, c := range t.Conditions {
+		created[c.Key] = c.Revision == 0
+	}
+	for _, p := range t.Puts {
+		if !created[p.Key] {
+			return false
+		}
+	}
+	return len(t.Puts) > 0 && len(t.Removes) == 0
+}
+
 // Page is a part of the items below a prefix.
 type Page struct {
 	Items []Item
