Take the beginning of a response for that of its own attempt only

A read whose first route refused it could wait up to 1.3 s for a silent peer: the beginning of the refusal, noticed after its end, counted as that of the next attempt, beside which no further one begins.

The time of a direct reading of a key is also that from its beginning, which the delay before a further attempt follows.

--- a/internal/fleet/path/attempts.go
+++ b/internal/fleet/path/attempts.go
@@ -115,8 +115,9 @@
 	began  time.Time
 	// cancel ends the attempt.
 	cancel context.CancelFunc
-	// response is valid once the attempt has ended.
+	// response is valid once ended is set.
 	response response
+	ended    bool
 }
 
 // attempts are the attempts of one call.
@@ -130,8 +131,8 @@
 	all     []*attempt
 	pending int
 	ended   chan *attempt
-	// begun receives a value when the response to an attempt begins.
-	begun chan struct{}
+	// begun receives an attempt when the response to it begins.
+	begun chan *attempt
 	// directFirst reports that the direct route did not fail when the call began.
 	directFirst, directTried bool
 	// peers are those that have not been tried; nil before they are listed.
@@ -146,17 +147,10 @@
 }
 
 func (p *Path) newAttempts(ctx context.Context, transfer time.Duration, c repeatableCall) *attempts {
-	s := &attempts{
-		path: p, call: c, transfer: transfer, ended: make(chan *attempt, 1+maxHedgeRelays), begun: make(chan struct{}, 1),
-		directFirst: !p.isDirectFailing(), silent: p.isDirectSilent(),
+	return &attempts{
+		path: p, call: c, transfer: transfer, ctx: context.WithoutCancel(ctx), directFirst: !p.isDirectFailing(), silent: p.isDirectSilent(),
+		ended: make(chan *attempt, 1+maxHedgeRelays), begun: make(chan *attempt, 1+maxHedgeRelays),
 	}
-	s.ctx = httptrace.WithClientTrace(context.WithoutCancel(ctx), &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		select {
-		case s.begun <- struct{}{}:
-		default:
-		}
-	}})
-	return s
 }
 
 // run makes the call by one route after another: directly, then through peers, or through
@@ -177,6 +171,7 @@
 		select {
 		case a := <-s.ended:
 			s.pending--
+			a.ended = true
 			if storeResponded(a.response.err) {
 				s.recordResponse(a)
 				return a.response, false
@@ -188,8 +183,10 @@
 				return a.response, unanswered
 			}
 			hedge.Reset(p.hedgeDelay())
-		case <-s.begun:
-			hedge.Stop()
+		case a := <-s.begun:
+			if !a.ended {
+				hedge.Stop()
+			}
 		case <-hedge.C:
 			s.silent = true
 			if s.startNext() {
@@ -242,6 +239,12 @@
 func (s *attempts) start(direct bool, timeout time.Duration, do func(ctx context.Context) response) {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	a := &attempt{direct: direct, began: time.Now(), cancel: cancel}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		select {
+		case s.begun <- a:
+		default:
+		}
+	}})
 	s.all = append(s.all, a)
 	s.pending++
 	go func() {
--- a/internal/fleet/path/hedge.go
+++ b/internal/fleet/path/hedge.go
@@ -98,11 +98,12 @@
 func (p *Path) readKey(ctx context.Context, key string, after int64) ([]store.Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
+	began := time.Now()
 	it, found, err := p.Direct.Get(ctx, key)
 	if err != nil {
 		return nil, 0, err
 	}
-	p.record(time.Now(), nil)
+	p.record(began, nil)
 	if !found {
 		return nil, after, nil
 	}
--- a/internal/fleet/path/path_test.go
+++ b/internal/fleet/path/path_test.go
@@ -405,3 +405,33 @@
 
 // maxFirstHedges is how often a read is repeated before the time of a response is known.
 const maxFirstHedges = 4
+
+// refusing is a route on which the store responds that it is unavailable.
+type refusing struct{ path.Access }
+
+func (refusing) Get(ctx context.Context, _ string) (store.Item, bool, error) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil {
+		trace.GotFirstResponseByte()
+	}
+	return store.Item{}, false, fault.New(fault.StoreUnavailable, "refused")
+}
+
+// TestSilentPeerAfterRefusalIsNotWaitedFor guards against reads that take the beginning of a
+// refusal for that of the next peer's response, and wait for a silent peer.
+func TestSilentPeerAfterRefusalIsNotWaitedFor(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newFixture()
+			defer s.stop()
+			silent := &slow{}
+			silent.hangs.Store(true)
+			s.path.Direct = refusing{s.direct}
+			s.relays.list = append([]path.Access{silent}, s.relays.list...)
+			began := time.Now()
+			_, _, err := s.path.Get(t.Context(), "k")
+			is.NoErr(err)
+			is.True(time.Since(began) < time.Second)
+		})
+	}
+}
