Count no relayed call that a peer has ended as a loss of the store

A VM that relays a call took the store for lost when the requesting VM ended the call, however young the call was. It then refused to relay for other VMs, and sent its own callers' writes through peers, until a probe got a response.

A relaying VM sees the end of its own direct call and counted it as a failure of the store. A call that its requester ends now counts only when the store was due to respond: after the delay from which the VM itself would go on to the next route. So a VM whose store is silent still learns of it from such a call, which a second test holds.

TestEndedRelayIsNoFailureOfRelayingVM failed before, for reads and changes. How often the fleet met this was not measured.

--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -241,11 +241,15 @@
 }
 
 func (p *Path) callDirect(ctx context.Context, transfer time.Duration, call func(ctx context.Context, a Access) error) error {
-	ctx, cancel := context.WithTimeout(ctx, directTimeout+transfer)
+	callCtx, cancel := context.WithTimeout(ctx, directTimeout+transfer)
 	defer cancel()
 	began := time.Now()
-	err := call(ctx, p.Direct)
-	p.record(began, err)
+	err := call(callCtx, p.Direct)
+	// A peer that no longer waits for a relayed call ends it, which tells nothing of the store
+	// unless a response was due.
+	if storeResponded(err) || !errors.Is(ctx.Err(), context.Canceled) || time.Since(began) >= p.hedgeDelay()+transfer {
+		p.record(began, err)
+	}
 	return err
 }
 
