Refuse a call at once that has no route to the store

A VM that knows no peer and whose direct calls fail took 1.3 s for a submission or a cancellation, and then told its caller that the result was unknown, though nothing had been sent. A read waited for its deadline while the store refused calls for their rate.

The loop over the routes waited for attempts when none could begin: without peers, and with a direct route that is not to be tried, there is nothing to wait for.

TestCreationIsRefusedAtOnceWithoutRoute failed before.

--- a/internal/fleet/path/attempts.go
+++ b/internal/fleet/path/attempts.go
@@ -164,7 +164,9 @@
 		p.Meter.Inc("store_refused_at_once")
 		return response{err: fault.New(fault.StoreUnavailable, "the store is unreachable, directly and through peers")}, false
 	}
-	s.startNext()
+	if !s.startNext() {
+		return response{err: fault.New(fault.StoreUnavailable, "no route to the store")}, false
+	}
 	hedge := time.NewTimer(p.hedgeDelay())
 	defer hedge.Stop()
 	for {
