Count no lost peer as responding, and send nothing for a caller who has left

Only an error that a peer itself sends counts as its response, and a failure after the hedge delay as silence, not as a refusal. An attempt that has ended, or has begun to respond, is not recorded as silent when another one responds (found by reading; probes soon overwrite it, so it has no test). Each further attempt takes the peer that is first in the present order, so a route that one call has found helps those that still wait; the access through a peer is the same in each list for that. OnlyCreates leaves out keys under a lease.

--- a/internal/fleet/path/attempts.go
+++ b/internal/fleet/path/attempts.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -15,8 +16,14 @@
 	// maxHedgeDelay bounds the delay after which a call is also made by another route. A
 	// caller who waits for 3 s has time for several.
 	maxHedgeDelay = 600 * time.Millisecond
-	// maxHedgeRelays bounds the number of peers tried for one call.
-	maxHedgeRelays = 8
+	// maxPeers bounds the number of peers tried for one call.
+	maxPeers = 8
+	// maxPeerRefusals bounds the number of refused calls through peers: many attempts could
+	// alone exceed the rate of calls that the store accepts.
+	maxPeerRefusals = 2
+	// directAfterPeers is the number of peers after which the direct route is tried although
+	// it fails: it may have recovered.
+	directAfterPeers = 2
 )
 
 // response is the response of the store to a call.
@@ -74,7 +81,7 @@
 		return r
 	})
 	// By a route that is known to fail it could become unknown whether the change was made.
-	a.directTried = !a.directFirst
+	a.mayTryDirect = a.directFirst
 	r, unanswered := a.run(ctx)
 	switch {
 	case fault.Is(r.err, fault.Conflict) && len(a.all) > 1 && created(t, r.items):
@@ -111,34 +118,41 @@
 
 // attempt is the attempt of a call by one route.
 type attempt struct {
-	direct bool
-	began  time.Time
+	// peer is nil for the direct route.
+	peer Access
+	began time.Time
 	// cancel ends the attempt.
 	cancel context.CancelFunc
-	// response is valid once ended is set.
+	// responding and done report that the response has begun and that the attempt has ended.
+	responding, done bool
+	// response is valid once the attempt has ended.
 	response response
-	ended    bool
 }
 
-// attempts are the attempts of one call.
+// attempts are the attempts of one call. The call is made by one route after another:
+// directly, then through peers, or through peers first while the direct route fails. The next
+// attempt begins when one has failed, or beside the earlier ones when none of them has begun to
+// respond within the hedge delay, since a route on which calls get no response fails only by
+// its timeout. The first response of the store ends the call; the other attempts may outlast
+// it.
 type attempts struct {
 	path     *Path
 	call     repeatableCall
 	transfer time.Duration
 	// ctx does not end with that of the caller, since ending an attempt would count as a
 	// failure of its route.
-	ctx     context.Context
+	ctx context.Context
+	// all are the attempts in the order in which they began, and pending the number of those
+	// that have not ended.
 	all     []*attempt
 	pending int
-	ended   chan *attempt
-	// begun receives an attempt when the response to it begins.
-	begun chan *attempt
-	// directFirst reports that the direct route did not fail when the call began.
-	directFirst, directTried bool
-	// peers are those that have not been tried; nil before they are listed.
-	peers []Access
-	// refusals counts the calls through peers that were refused. Peers that can't reach the
-	// store do not count if silent is set: others of them have lost it in silence too.
+	// responding receives an attempt when its response begins, and done when it has ended.
+	responding, done chan *attempt
+	// directFirst reports that the direct route did not fail when the call began. It may be
+	// tried once if mayTryDirect is set.
+	directFirst, mayTryDirect bool
+	// refusals counts the calls through peers that the store has refused. If silent is set,
+	// peers that can't reach the store do not count: they have lost it in silence too.
 	refusals int
 	// silent reports that a route does not respond, rather than refuses.
 	silent bool
@@ -148,22 +162,22 @@
 
 func (p *Path) newAttempts(ctx context.Context, transfer time.Duration, c repeatableCall) *attempts {
 	return &attempts{
-		path: p, call: c, transfer: transfer, ctx: context.WithoutCancel(ctx), directFirst: !p.isDirectFailing(), silent: p.isDirectSilent(),
-		ended: make(chan *attempt, 1+maxHedgeRelays), begun: make(chan *attempt, 1+maxHedgeRelays),
+		path: p, call: c, transfer: transfer, ctx: context.WithoutCancel(ctx), directFirst: !p.isDirectFailing(), mayTryDirect: true, silent: p.isDirectSilent(),
+		responding: make(chan *attempt, 1+maxPeers), done: make(chan *attempt, 1+maxPeers),
 	}
 }
 
-// run makes the call by one route after another: directly, then through peers, or through
-// peers first while the direct route fails. The next attempt begins when one has failed, or
-// when none has begun to respond within the hedge delay, since a route on which calls get
-// no response fails only by its timeout. run returns the first response of the store, or the
-// last error and whether an attempt may yet take effect.
+// run makes the call. It returns the first response of the store, or the last error and
+// whether an attempt may yet take effect.
 func (s *attempts) run(ctx context.Context) (r response, unanswered bool) {
 	p := s.path
 	if p.allRoutesFailing() {
 		p.Meter.Inc("store_refused_at_once")
 		return response{err: fault.New(fault.StoreUnavailable, "the store is unreachable, directly and through peers")}, false
 	}
+	if ctx.Err() != nil {
+		return response{err: fault.Wrap(fault.StoreUnavailable, ctx.Err(), "no time is left")}, false
+	}
 	if !s.startNext() {
 		return response{err: fault.New(fault.StoreUnavailable, "no route to the store")}, false
 	}
@@ -171,9 +185,9 @@
 	defer hedge.Stop()
 	for {
 		select {
-		case a := <-s.ended:
+		case a := <-s.done:
 			s.pending--
-			a.ended = true
+			a.done = true
 			if storeResponded(a.response.err) {
 				s.recordResponse(a)
 				return a.response, false
@@ -185,8 +199,8 @@
 				return a.response, unanswered
 			}
 			hedge.Reset(p.hedgeDelay())
-		case a := <-s.begun:
-			if !a.ended {
+		case a := <-s.responding:
+			if a.responding = true; !a.done {
 				hedge.Stop()
 			}
 		case <-hedge.C:
@@ -203,33 +217,47 @@
 
 // startNext begins an attempt by the next route, and reports whether there is one.
 func (s *attempts) startNext() bool {
-	if !s.directTried && s.directFirst {
+	if s.mayTryDirect && s.directFirst {
 		s.startDirect()
 		return true
 	}
-	if s.peers == nil {
-		list := s.path.Relays.Relays()
-		s.peers = append([]Access{}, list[:min(len(list), maxHedgeRelays)]...)
-	}
-	// The direct route may have recovered, but more likely a further peer responds.
-	if !s.directTried && (len(s.peers) == 0 || len(s.all) >= maxRelays) && !s.path.backsOff() {
+	peer := s.nextPeer()
+	if s.mayTryDirect && (peer == nil || s.peersTried() >= directAfterPeers) && !s.path.backsOff() {
 		s.startDirect()
 		return true
 	}
-	// Many attempts could alone exceed the rate of calls that the store accepts.
-	if len(s.peers) == 0 || s.refusals >= maxRelays {
+	if peer == nil || s.refusals >= maxPeerRefusals || s.peersTried() >= maxPeers {
 		return false
 	}
-	peer := s.peers[0]
-	s.peers = s.peers[1:]
 	s.path.Meter.Inc("store_relayed")
-	s.start(false, relayTimeout+2*s.transfer, func(ctx context.Context) response { return s.call(ctx, peer) })
+	s.start(&attempt{peer: peer}, relayTimeout+2*s.transfer, func(ctx context.Context) response { return s.call(ctx, peer) })
 	return true
 }
 
+// nextPeer returns the peer that is the most likely to respond, as other calls have shown
+// since, of those that have not been tried, and nil for none.
+func (s *attempts) nextPeer() Access {
+	for _, peer := range s.path.Relays.Relays() {
+		tried := slices.ContainsFunc(s.all, func(a *attempt) bool { return a.peer == peer })
+		if !tried {
+			return peer
+		}
+	}
+	return nil
+}
+
+// peersTried returns the number of peers tried.
+func (s *attempts) peersTried() int {
+	n := len(s.all)
+	if slices.ContainsFunc(s.all, func(a *attempt) bool { return a.peer == nil }) {
+		n--
+	}
+	return n
+}
+
 func (s *attempts) startDirect() {
-	s.directTried = true
-	s.start(true, directTimeout+s.transfer, func(ctx context.Context) (r response) {
+	s.mayTryDirect = false
+	s.start(&attempt{}, directTimeout+s.transfer, func(ctx context.Context) (r response) {
 		_ = s.path.callDirect(ctx, s.transfer, func(ctx context.Context, a Access) error {
 			r = s.call(ctx, a)
 			return r.err
@@ -238,36 +266,39 @@
 	})
 }
 
-func (s *attempts) start(direct bool, timeout time.Duration, do func(ctx context.Context) response) {
+func (s *attempts) start(a *attempt, timeout time.Duration, do func(ctx context.Context) response) {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
-	a := &attempt{direct: direct, began: time.Now(), cancel: cancel}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		select {
-		case s.begun <- a:
+		case s.responding <- a:
 		default:
 		}
 	}})
+	a.began, a.cancel = time.Now(), cancel
 	s.all = append(s.all, a)
 	s.pending++
 	go func() {
 		defer cancel()
 		a.response = do(ctx)
-		s.ended <- a
+		s.done <- a
 	}()
 }
 
 // recordResponse records that the store has responded to an attempt. The routes of earlier
-// attempts that have not ended are not to be tried first by the next calls. Later attempts
-// go on: they have had less time.
+// attempts that have not begun to respond are not to be tried first by the next calls. Later
+// attempts go on: they have had less time.
 func (s *attempts) recordResponse(a *attempt) {
-	if !a.direct {
+	if a.peer != nil {
 		s.path.recordRelayed()
 	}
 	for _, earlier := range s.all {
 		if earlier == a {
 			return
 		}
-		if earlier.direct {
+		if earlier.done || earlier.responding {
+			continue
+		}
+		if earlier.peer == nil {
 			s.path.record(earlier.began, fault.New(fault.StoreUnavailable, "no response for %v, while a peer responded", time.Since(earlier.began)))
 		} else {
 			earlier.cancel()
@@ -277,11 +308,12 @@
 
 // recordFailure records that an attempt has failed.
 func (s *attempts) recordFailure(a *attempt) {
-	if a.direct || fault.Is(a.response.err, fault.Unreachable) {
+	if a.peer == nil || !fault.Is(a.response.err, fault.StoreUnavailable) {
 		return
 	}
 	s.peerResponded = true
-	if !s.silent || !errors.Is(a.response.err, ErrNotCalled) {
+	inSilence := time.Since(a.began) >= hedgeDelay || s.silent && errors.Is(a.response.err, ErrNotCalled)
+	if !inSilence {
 		s.refusals++
 	}
 }
--- a/internal/fleet/path/hedge.go
+++ b/internal/fleet/path/hedge.go
@@ -41,7 +41,7 @@
 
 // Changes implements Access. The store may respond to no watches while it responds to
 // reads, which a peer that is cut off from it can't make itself.
-func (r relayed) Changes(ctx context.Context, key string, after int64) ([]store.Item, int64, error) {
+func (r *relayed) Changes(ctx context.Context, key string, after int64) ([]store.Item, int64, error) {
 	return r.path.hedge(ctx, key, after, r.route, nil)
 }
 
--- a/internal/fleet/path/path.go
+++ b/internal/fleet/path/path.go
@@ -57,7 +57,8 @@
 	Apply(ctx context.Context, t store.Txn) (int64, []store.Item, error)
 }
 
-// Relays lists peers that can relay store calls, the most likely to succeed first.
+// Relays lists peers that can relay store calls, the most likely to succeed first. The
+// access through a peer is the same in each list, and comparable.
 type Relays interface {
 	Relays() []Access
 }
@@ -185,7 +186,7 @@
 // DirectOnly returns access by the direct route only, for calls that this VM relays
 // for its peers. It refuses calls immediately while that route is known to fail. Its Changes
 // are those of one key.
-func (p *Path) DirectOnly() Access { return relayed{p.directOnly, p} }
+func (p *Path) DirectOnly() Access { return &relayed{p.directOnly, p} }
 
 func (p *Path) directOnly(ctx context.Context, _ bool, transfer time.Duration, call func(ctx context.Context, a Access) error) error {
 	if p.isDirectFailing() {
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -64,14 +64,15 @@
 }
 
 // OnlyCreates reports whether all that the change does is to write keys that must not exist
-// before, so that it takes effect at most once however often it is made.
+// before, under no lease. While the keys exist, such a change takes effect once however often it
+// is made.
 func (t Txn) OnlyCreates() bool {
 	created := make(map[string]bool, len(t.Conditions))
 	for _, c := range t.Conditions {
 		created[c.Key] = c.Revision == 0
 	}
 	for _, p := range t.Puts {
-		if !created[p.Key] {
+		if !created[p.Key] || p.Lease != 0 {
 			return false
 		}
 	}
--- a/internal/peer/vm/vm.go
+++ b/internal/peer/vm/vm.go
@@ -38,6 +38,7 @@
 type peer struct {
 	ip     string
 	client nodev1connect.NodeServiceClient
+	relay  *relay
 	// rank orders peers that are equally likely to respond. It differs between VMs, so that
 	// they do not all call the same peer.
 	rank uint64
@@ -64,6 +65,7 @@
 	if pr == nil {
 		base := "http://" + net.JoinHostPort(ip, strconv.Itoa(p.Port))
 		pr = &peer{ip: ip, client: nodev1connect.NewNodeServiceClient(p.HTTP, base), rank: rank(p.SelfIP, ip)}
+		pr.relay = &relay{peers: p, peer: pr}
 		p.byIP[ip] = pr
 	}
 	return pr
@@ -113,7 +115,7 @@
 func (p *Peers) Relays() []path.Access {
 	var all []path.Access
 	for _, pr := range p.byLastFailure() {
-		all = append(all, &relay{peers: p, peer: pr})
+		all = append(all, pr.relay)
 	}
 	return all
 }
