Find the planner while the first peers asked for it are silent

A VM that has not read the planner lock for 5 s asks two peers for its holder, one after the other. A silent one took 0.4 s of the 0.5 s that a query of the planner has, two of them all of it. By reading, callers then wait longer for the number of pending jobs, notices of submissions are lost, and a state is read from the store half a second later; what they saw was not measured.

The cause is that of the state queries, bounded waits that follow each other. The next peer is now asked beside one that has not responded in 0.1 s, four at most. A query whose caller has gone is no failure of the peer any more.

--- a/internal/peer/vm/vm.go
+++ b/internal/peer/vm/vm.go
@@ -120,29 +120,65 @@
 	return all
 }
 
-// maxLeadQueries bounds the number of peers queried for the holder of the planner
-// lock.
-const maxLeadQueries = 2
+const (
+	// maxLeadQueries bounds the number of peers queried for the holder of the planner lock.
+	maxLeadQueries = 4
+	// leadDelay is how long a query waits for a response before the next peer is queried
+	// beside it.
+	leadDelay = 100 * time.Millisecond
+	// leadTimeout bounds a query for the holder of the planner lock.
+	leadTimeout = 400 * time.Millisecond
+)
 
-// leadTimeout bounds a query for the holder of the planner lock.
-const leadTimeout = 400 * time.Millisecond
+// leadResult is the result of a query for the holder of the planner lock.
+type leadResult struct {
+	resp *nodev1.LeadResponse
+	err  error
+}
 
 // Lead queries peers for the holder of the planner lock, and returns the first
 // response that names one. Its error is of kind Unreachable.
 func (p *Peers) Lead(ctx context.Context) (*nodev1.LeadResponse, error) {
-	var lastErr error = fault.New(fault.Unreachable, "no peer is known")
-	for i, pr := range p.byLastFailure() {
-		if i >= maxLeadQueries {
-			break
+	var lastErr error = fault.New(fault.Unreachable, "no peer knows the holder")
+	peers := p.byLastFailure()
+	peers = peers[:min(len(peers), maxLeadQueries)]
+	results := make(chan leadResult, maxLeadQueries)
+	pending := 0
+	queryNext := func() {
+		if len(peers) == 0 {
+			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, leadTimeout)
-		resp, err := pr.client.Lead(callCtx, &nodev1.LeadRequest{})
-		cancel()
-		p.recordResult(pr, err)
-		if err == nil && resp.GetRevision() > 0 {
-			return resp, nil
+		pr := peers[0]
+		peers = peers[1:]
+		pending++
+		go func() {
+			// The end of ctx is no failure of the peer.
+			queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leadTimeout)
+			defer cancel()
+			resp, err := pr.client.Lead(queryCtx, &nodev1.LeadRequest{})
+			p.recordResult(pr, err)
+			results <- leadResult{resp, err}
+		}()
+	}
+	queryNext()
+	next := time.NewTicker(leadDelay)
+	defer next.Stop()
+	for pending > 0 {
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil && r.resp.GetRevision() > 0 {
+				return r.resp, nil
+			}
+			if r.err != nil {
+				lastErr = r.err
+			}
+			queryNext()
+		case <-next.C:
+			queryNext()
+		case <-ctx.Done():
+			return nil, fault.Wrap(fault.Unreachable, ctx.Err(), "lead")
 		}
-		lastErr = err
 	}
 	return nil, fault.Wrap(fault.Unreachable, lastErr, "lead")
 }
