Spread the VMs' watches of the planner lock

When the planner's VM was lost while the store was silent to the others for a moment, nobody planned for 4.8 s instead of 1.5 s (a trial with 8 other VMs and 0.3 s of silence).

All VMs begin to watch the lock when the planner changes, and again every 3 s at the same time. If the store is silent just then, each of these watches is given up only after its wait of 3 s and a call's 1.3 s, one after the other. A watch now waits between 2.5 and 3.5 s, the same on average, so that a short silence meets few of them and the others see the lock expire.

--- a/internal/fleet/lock/lock.go
+++ b/internal/fleet/lock/lock.go
@@ -32,7 +32,11 @@
 	overdueRenewals = 20
 	// watchWait bounds one watch of the lock, so that an unresponsive watch is
 	// detected.
-	watchWait = 3 * time.Second
+	watchWait = 2500 * time.Millisecond
+	// maxWatchJitter bounds the jitter of that. All VMs begin to watch at the same time, when
+	// the planner has changed, and a store that is silent for a moment must not leave them all
+	// with unresponsive watches.
+	maxWatchJitter = time.Second
 	// callTimeout bounds a store call for the lock. It lets a store that takes most
 	// of a second per call still be used.
 	callTimeout = 1300 * time.Millisecond
@@ -200,9 +204,10 @@
 }
 
 func (l *Lock) watch(ctx context.Context, after int64) ([]store.Item, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	wait := watchWait + rand.N(maxWatchJitter)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return l.Store.Watch(ctx, store.LockKey, after, watchWait)
+	return l.Store.Watch(ctx, store.LockKey, after, wait)
 }
 
 // pauseWithJitter waits between d and twice as long, so that VMs do not act at the
