Soak: ask for states while thin VMs lose the store by turns

The soak had no such run: its VMs are alike, its faults are healed before jobs are judged, and a state without an answer was no violation.

No answer is a violation if all VMs that were asked had run for stable_window_ms and a VM that reaches the store ran all the while; stops of processes by a busy machine are read from the VMs' logs. TestSoak, its draws and its checks are unchanged.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -65,7 +65,11 @@
 	}
 	r.Host = host
 	r.Header.Set("X-Api-Key", key)
-	r.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(callTimeout.Milliseconds()))
+	timeout := callTimeout
+	if until, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(until))
+	}
+	r.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(timeout.Milliseconds()))
 	sent, incarnation := time.Now(), v.incarnation()
 	resp, err := c.http.Do(r)
 	if err == nil {
--- a/internal/proof/soak/check_test.go
+++ b/internal/proof/soak/check_test.go
@@ -191,6 +191,38 @@
 	return unfinished
 }
 
+// accepted returns the paths of the accepted jobs by job id.
+func (c *checker) accepted() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accepted := make(map[string]string)
+	for id, j := range c.jobs {
+		if !j.accepted.IsZero() {
+			accepted[id] = j.path
+		}
+	}
+	return accepted
+}
+
+// recordAnswer records the time in which a caller learned a job's state.
+func (c *checker) recordAnswer(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[fmt.Sprintf("answered_within_%v", took.Truncate(500*time.Millisecond)+500*time.Millisecond)]++
+}
+
+// recordUnanswered records that a caller did not learn a job's state within callTimeout.
+// due says that the VMs that were asked could have answered.
+func (c *checker) recordUnanswered(id string, asked []string, due bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !due {
+		c.counts["unanswered_stopped"]++
+		return
+	}
+	c.addLocked("LOST: no answer came in time about job %s, asked for at %v", id, asked)
+}
+
 // recordConfigAck records when a configuration version was acknowledged.
 func (c *checker) recordConfigAck(version int64, at time.Time) {
 	c.mu.Lock()
--- a/internal/proof/soak/checker_test.go
+++ b/internal/proof/soak/checker_test.go
@@ -99,6 +99,8 @@
 			}
 		}, "FAULT"},
 		{"one unexpected exit", fakeHistory{}, func(c *checker) { c.recordUnexpectedExit("v") }, ""},
+		{"no answer in time", fakeHistory{}, func(c *checker) { c.recordUnanswered("a", []string{"v", "w"}, true) }, "LOST"},
+		{"no answer of a stopped VM", fakeHistory{}, func(c *checker) { c.recordUnanswered("a", []string{"v"}, false) }, ""},
 		{"not reclaimed", fakeHistory{begun: 1, last: at}, func(c *checker) { c.checkReclaimed("a", 2, at) }, "RECLAIM"},
 		{"reclaimed late", fakeHistory{begun: 2, last: later}, func(c *checker) { c.checkReclaimed("a", 2, at) }, "RECLAIM"},
 		{"reclaimed", fakeHistory{begun: 2, last: at}, func(c *checker) { c.checkReclaimed("a", 2, at) }, ""},
--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -56,8 +56,14 @@
 	stopBegan time.Time
 	// misses counts the consecutive readiness probes that failed.
 	misses atomic.Int32
+	// cpuShare is the share of the processor that the settings state.
+	cpuShare float64
+	// stops are the times in which the process did not run, besides those of its share.
+	stops []span
 }
 
+type span struct{ from, to time.Time }
+
 // fleet is the platform and its VMs.
 type fleet struct {
 	t      *testing.T
@@ -69,6 +75,9 @@
 	check  *checker
 	log    *slog.Logger
 	cancel context.CancelFunc
+	// mu guards unanswered.
+	mu         sync.Mutex
+	unanswered []unanswered
 	// version is the version of the newest configuration.
 	version atomic.Int64
 }
@@ -77,7 +86,8 @@
 // addresses.
 var fleetCount atomic.Int32
 
-func startFleet(t *testing.T, seed uint64) *fleet {
+// startFleet starts a fleet of count VMs. All but the first large ones are thin.
+func startFleet(t *testing.T, seed uint64, count, large int) *fleet {
 	t.Helper()
 	dir, err := os.MkdirTemp(*logDir, fmt.Sprintf("soak-%d-", seed))
 	fatal(t, err)
@@ -112,9 +122,12 @@
 	}()
 	f.configure()
 	subnet := int(fleetCount.Add(1))
-	for i := range vms {
+	for i := range count {
 		// Test processes that run at the same time use different addresses.
-		v := &vm{name: fmt.Sprintf("vm%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, subnet, i+1)}
+		v := &vm{name: fmt.Sprintf("vm%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, subnet, i+1), cpuShare: 1}
+		if i >= large {
+			v.cpuShare = thinCPU
+		}
 		v.store, err = relay.Listen("127.0.0.1:0", f.wire.StoreAddress)
 		fatal(t, err)
 		t.Cleanup(v.store.Close)
@@ -166,7 +179,7 @@
 front = "{{.IP}}:{{.Callers}}"
 readiness = "{{.IP}}:{{.Readiness}}"
 [limits]
-cpu_share = 1.0
+cpu_share = {{.CPUShare}}
 cores = 1
 [bounds]
 max_hold_ms = 6000
@@ -187,7 +200,7 @@
 	}
 	var b bytes.Buffer
 	err := settings.Execute(&b, map[string]any{
-		"Name": v.name, "IP": v.ip, "Peer": peerPort, "Callers": callersPort, "Readiness": readinessPort, "Seeds": seeds, "Store": v.store.Address(),
+		"Name": v.name, "IP": v.ip, "Peer": peerPort, "Callers": callersPort, "Readiness": readinessPort, "Seeds": seeds, "Store": v.store.Address(), "CPUShare": v.cpuShare,
 		"Heartbeat": world.HeartbeatInterval.Milliseconds(), "StableWindow": world.StableWindow.Milliseconds(),
 	})
 	if err == nil {
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -100,7 +100,7 @@
 // runSeed runs one seed.
 func runSeed(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	f := startFleet(t, seed)
+	f := startFleet(t, seed, vms, vms)
 	c := f.check
 	ctx, stopCallers := context.WithCancel(t.Context())
 	defer stopCallers()
