Repeat a start only to a worker that has responded since the last attempt

Callers would see a job that crashes its workers crash far more of them than the budget allows: one start that gets no response crashed process after process of one worker.

The attempt is repeated each 30 ms for 1.3 s. It was stopped only once a renewal had failed, but the renewal under way was one that the worker may delay, and its response was lost, so that it failed no sooner than 1.4 s after the crash.

Before a start without a response is repeated, the worker must answer a renewal that was sent after the attempt ended, as the incarnation on which the task was placed. A renewal that the worker may delay is cut short for that, and counts for nothing then.

Tests: TestStartCrashesOneProcess failed before for each downtime with workers that return under the same id (32, 19, 12 and 8 crashes by one task; five are allowed).

--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -297,6 +297,11 @@
 	if n == 0 {
 		return
 	}
+	w.endPause()
+}
+
+// endPause ends the pause before the worker's next renewal.
+func (w *worker) endPause() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
--- a/internal/fleet/planner/crash_test.go
+++ b/internal/fleet/planner/crash_test.go
@@ -144,6 +144,51 @@
 	}
 }
 
+// TestStartCrashesOneProcess guards against one start that crashes process after process of a
+// worker: it gets no response, and the planner does not know yet that the worker has restarted.
+func TestStartCrashesOneProcess(t *testing.T) {
+	for _, downtime := range []time.Duration{minRestartTime, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			crashFleet(t, 6, func(t *testing.T, fleet *testFleet) {
+				for _, vm := range vmsOfCrashTests {
+					for i := range fleet.workers {
+						fleet.link(vm, fmt.Sprintf("w%d", i)).LoseHeld(true)
+					}
+				}
+				fleet.world.SetCrashing(jobID(crasher), world.Crashing{Downtime: downtime})
+				fleet.submit(jobID(crasher), "solve", 3*time.Second, step(1, 8, false))
+				fleet.checkGivenUp(t, giveUpTime)
+			})
+		})
+	}
+}
+
+// TestStartIsRepeatedWhileTheWorkerResponds guards against a start that is given up, and its
+// task with it, because one attempt is lost.
+func TestStartIsRepeatedWhileTheWorkerResponds(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 1, 1)
+		defer fleet.close()
+		fleet.startVM("a")
+		time.Sleep(time.Second)
+		const jobs = 20
+		for i := range jobs {
+			time.Sleep(time.Duration(fleet.rng.IntN(2000)) * time.Millisecond)
+			fleet.link("a", "w0").LoseStarts(1)
+			submittedAt := time.Now()
+			fleet.submit(jobID(i), "solve", 2*time.Second, step(1, 8, false))
+			fleet.waitForRun(planner.TaskID{Job: jobID(i)}, true)
+			if took := time.Since(submittedAt); took > 700*time.Millisecond {
+				t.Errorf("job %d began after %v", i, took)
+			}
+			fleet.waitForEnd(10 * time.Second)
+		}
+		if violations := fleet.allViolations(); len(violations) > 0 {
+			t.Errorf("violations: %v", violations)
+		}
+	})
+}
+
 // TestCrashingStepsAreGivenUp guards against steps of other kinds that crash worker after
 // worker.
 func TestCrashingStepsAreGivenUp(t *testing.T) {
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -75,7 +75,7 @@
 			break
 		}
 		pause.For(t.ctx, orderRetryPause)
-		if t.startObsolete(m) || maybeStarted && t.mayHaveRestarted(m) {
+		if t.startObsolete(m) || maybeStarted && !t.awaitWorker(m, deadline) {
 			break
 		}
 	}
@@ -89,15 +89,43 @@
 	return m.stopping || m.removed
 }
 
-// mayHaveRestarted reports whether the worker of a member may be another incarnation than the
-// one on which it was placed, which would carry out a repeated start.
-func (t *term) mayHaveRestarted(m *member) bool {
+// awaitWorker waits until the worker of a member has responded to a renewal that is sent from
+// now on, and reports whether it has done so in time as the incarnation on which the member was
+// placed. Any other one would carry out a repeated start.
+func (t *term) awaitWorker(m *member, deadline boottime.Time) bool {
+	if t.p.disabled.restartCheck {
+		return true
+	}
+	since := boottime.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.workers[m.worker]
-	return !t.p.disabled.restartCheck && (w == nil || w.unresponsive || w.incarnation != m.incarnation)
+	if w == nil {
+		return false
+	}
+	w.awaited++
+	defer func() { w.awaited-- }()
+	if w.cutShort != nil {
+		w.cutShort()
+	}
+	w.endPause()
+	for t.ctx.Err() == nil && boottime.Now() < deadline && !m.stopping && !m.removed {
+		switch {
+		case w.unresponsive || w.incarnation != m.incarnation:
+			return false
+		case w.answeredAt >= since:
+			return true
+		}
+		t.mu.Unlock()
+		pause.For(t.ctx, answerPollInterval)
+		t.mu.Lock()
+	}
+	return false
 }
 
+// answerPollInterval is the interval at which a start looks for the response to a renewal.
+const answerPollInterval = 10 * time.Millisecond
+
 // orderRetryPause is the pause between two attempts of an order.
 const orderRetryPause = 30 * time.Millisecond
 
--- a/internal/standin/world/link.go
+++ b/internal/standin/world/link.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
 )
 
 // Faults holds the probabilities, between 0 and 1, of the faults of a call.
@@ -36,6 +37,10 @@
 	resume chan struct{}
 	// lostPages is the number of the next readings of pages that get no response.
 	lostPages int
+	// losesHeld loses the responses to renewals that may be delayed.
+	losesHeld bool
+	// lostStarts is the number of the next starts that do not arrive.
+	lostStarts int
 	// lateCalls counts the late calls that have not been executed yet.
 	lateCalls *sync.WaitGroup
 }
@@ -82,6 +87,36 @@
 	return true
 }
 
+// LoseStarts loses the next n starts: they don't arrive.
+func (l *Link) LoseStarts(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lostStarts = n
+}
+
+func (l *Link) losesStart() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lostStarts == 0 {
+		return false
+	}
+	l.lostStarts--
+	return true
+}
+
+// LoseHeld sets whether the responses to renewals are lost which the worker may delay.
+func (l *Link) LoseHeld(lose bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.losesHeld = lose
+}
+
+func (l *Link) loses(o planner.LeaseRenewal) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.losesHeld && o.MaxWait > 0
+}
+
 // Cut blocks the link or restores it. Calls on a blocked link time out.
 func (l *Link) Cut(cut bool) {
 	l.mu.Lock()
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -362,6 +362,10 @@
 
 // Start implements planner.WorkerClient.
 func (c *Client) Start(ctx context.Context, o planner.StartOrder) error {
+	if c.Link.losesStart() {
+		<-ctx.Done()
+		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no response")
+	}
 	errs := make(chan error, 1)
 	if err := c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(context.Context) { errs <- c.Worker.acceptStart(o) }); err != nil {
 		return err
@@ -407,6 +411,10 @@
 	if err != nil {
 		return planner.WorkerReport{}, err
 	}
+	if c.Link.loses(o) {
+		<-ctx.Done()
+		return planner.WorkerReport{}, fault.Wrap(fault.AnswerLost, ctx.Err(), "no response")
+	}
 	a := <-answers
 	if a.err == nil {
 		c.connectedProcess, c.connectedIncarnation = a.process, a.report.Incarnation
