--- a/internal/fleet/entry/config_test.go
+++ b/internal/fleet/entry/config_test.go
@@ -18,9 +18,7 @@
 				is := is.New(t)
 				f := newVMs(t, c.vms, unwrapped, newTestPeers)
 				defer f.stop()
-				for i := range c.cut {
-					f.links[i*c.vms/c.cut].Cut(true)
-				}
+				f.cut(c.cut)
 				oldest := time.Duration(0)
 				for range 80 {
 					time.Sleep(100 * time.Millisecond)
--- a/internal/fleet/entry/silence_test.go
+++ b/internal/fleet/entry/silence_test.go
@@ -26,9 +26,7 @@
 				is := is.New(t)
 				f := newVMs(t, c.vms, unwrapped, newTestPeers)
 				defer f.stop()
-				for i := range c.cut {
-					f.links[i*c.vms/c.cut].Cut(true)
-				}
+				f.cut(c.cut)
 				is.Equal(f.ask(), int64(0)) // while the loss of the store is new
 				is.Equal(f.ask(), int64(0))
 			})
@@ -80,9 +78,7 @@
 					is := is.New(t)
 					f := newVMs(t, c.vms, unwrapped, newTestPeers)
 					defer f.stop()
-					for i := range c.cut {
-						f.links[i*c.vms/c.cut].Cut(true)
-					}
+					f.cut(c.cut)
 					is.Equal(f.callAll(2, call), int64(0))
 				})
 			})
--- a/internal/fleet/entry/vms_test.go
+++ b/internal/fleet/entry/vms_test.go
@@ -166,6 +166,13 @@
 	time.Sleep(world.MaxCall)
 }
 
+// cut cuts n of the VMs, evenly chosen, off from the store in silence.
+func (f *vms) cut(n int) {
+	for i := range n {
+		f.links[i*len(f.links)/n].Cut(true)
+	}
+}
+
 // ask asks for the states of all jobs and returns how many queries got no answer.
 func (f *vms) ask() int64 {
 	return f.callAll(1, func(ctx context.Context, js *entry.JobService, t entry.Target) error {
