--- /dev/null
+++ b/review/_standin2/kind.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// wide is the number of tasks of the widest job of the small deployments.
+const wide = 72
+
+// firstStart waits for the first start of a job's tasks and returns the runner that began it.
+func (h *harness) firstStart(id string) (runner string, ok bool) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Microsecond) {
+		if all := h.eventsOf("START", id); len(all) > 0 {
+			return all[0].runner, true
+		}
+	}
+	return "", false
+}
+
+// playKind: a runner crashes while a wide job starts there, and comes up as another kind under the
+// same id and address. The tasks need the first kind: none of them may start on the other one.
+func playKind(h *harness) (verdict, error) {
+	const target = "i-a"
+	address, err := freePort(h.net + ".201")
+	if err != nil {
+		return cantPlay, err
+	}
+	for i := range 9 {
+		if err := h.startRunner(fmt.Sprintf("i-%d", i), h.net+".200:0", "", "--rack", fmt.Sprintf("r%d", i/5), "--kind", "b"); err != nil {
+			return cantPlay, err
+		}
+	}
+	p, err := newProxy(h.net+".202", address)
+	if err != nil {
+		return cantPlay, err
+	}
+	if err := h.startRunner(target, address, p.address, "--rack", "r1", "--kind", "a"); err != nil {
+		return cantPlay, err
+	}
+	if err := h.cluster(3); err != nil {
+		return cantPlay, err
+	}
+	// Whether a start is sent to the runner's next life depends on what is tried first after the
+	// crash, a start or a renewal; so there are up to three crashes.
+	wrong, right := 0, 0
+	for n := 0; n < 3 && wrong == 0; n++ {
+		time.Sleep(5 * time.Second)
+		id := jobID()
+		handed := make(chan bool)
+		go func() {
+			handed <- h.submit(h.daemons[0], "/batch/", id, job(9500, wide, 0, 9500, object{"requirements": "a"}))
+		}()
+		if _, ok := h.firstStart(id); !ok {
+			return cantPlay, fmt.Errorf("the job did not start")
+		}
+		if h.trouble {
+			if err := h.restartAs("b", target, address, p); err != nil {
+				return cantPlay, err
+			}
+		}
+		if !<-handed {
+			return cantPlay, fmt.Errorf("the job was not accepted")
+		}
+		time.Sleep(3 * time.Second)
+		h.call(h.daemons[0], "DELETE", "/batch/"+id, nil, 3*time.Second)
+		for _, e := range h.eventsOf("START", id) {
+			if e.more == "a" {
+				right++
+			} else {
+				wrong++
+			}
+		}
+		h.log("tasks that need kind a: %d started on kind a, %d on kind b", right, wrong)
+		if !h.trouble {
+			break
+		}
+		if err := h.restartAs("a", target, address, p); err != nil {
+			return cantPlay, err
+		}
+	}
+	if wrong > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// restartAs ends a runner's process and starts it again after half a second as another kind.
+func (h *harness) restartAs(kind, runner, address string, p *proxy) error {
+	x := h.runners[runner]
+	p.down()
+	x.signal(syscall.SIGKILL)
+	h.log("runner %s crashes", runner)
+	<-x.done
+	time.Sleep(500 * time.Millisecond)
+	if err := h.startRunner(runner, address, p.address, "--rack", "r1", "--kind", kind); err != nil {
+		return err
+	}
+	time.Sleep(50 * time.Millisecond)
+	h.log("runner %s starts again as kind %s", runner, kind)
+	return p.up()
+}
--- /dev/null
+++ b/review/_standin2/lease.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// playLease: a runner crashes while a wide job starts there, comes up again under the same id and
+// address, and is then cut off and runs on. No task may run on it and elsewhere at the same time.
+func playLease(h *harness) (verdict, error) {
+	type machine struct {
+		id, address string
+		p           *proxy
+	}
+	all := make(map[string]*machine)
+	for i := range 7 {
+		address, err := freePort(fmt.Sprintf("%s.%d", h.net, 101+i))
+		if err != nil {
+			return cantPlay, err
+		}
+		p, err := newProxy(fmt.Sprintf("%s.%d", h.net, 121+i), address)
+		if err != nil {
+			return cantPlay, err
+		}
+		m := &machine{fmt.Sprintf("i-%d", i), address, p}
+		if err := h.startRunner(m.id, m.address, p.address, "--rack", fmt.Sprintf("r%d", i/4)); err != nil {
+			return cantPlay, err
+		}
+		all[m.id] = m
+	}
+	if err := h.cluster(3); err != nil {
+		return cantPlay, err
+	}
+	// A start that is sent to the next life of a runner has a deadline by the clock of the life
+	// before. Whether one is sent depends on what is tried first after the crash, a start or a
+	// renewal; so there are up to three crashes, 12 s apart.
+	crossed := false
+	for n := 0; n < 3 && !crossed; n++ {
+		time.Sleep(12 * time.Second)
+		id := jobID()
+		handed := make(chan bool)
+		go func() {
+			handed <- h.submit(h.daemons[0], "/batch/", id, job(14_000, wide, 0, 14_000, nil))
+		}()
+		runner, ok := h.firstStart(id)
+		if !ok {
+			return cantPlay, fmt.Errorf("the job did not start")
+		}
+		if !h.trouble {
+			<-handed
+			break
+		}
+		target := all[runner]
+		var err error
+		if crossed, err = h.crashDuringStarts(id, target.id, target.address, target.p); err != nil {
+			return cantPlay, err
+		}
+		if crossed {
+			h.log("runner %s is cut off", target.id)
+			target.p.cut()
+			time.Sleep(5500 * time.Millisecond)
+			target.p.heal()
+			h.log("runner %s is back", target.id)
+		}
+		if !<-handed {
+			return cantPlay, fmt.Errorf("the job was not accepted")
+		}
+	}
+	time.Sleep(16 * time.Second)
+	twice := h.twice()
+	h.log("%d tasks were started while they ran elsewhere", twice)
+	if twice > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// crashDuringStarts ends a runner's process at the first start of a job's tasks, and starts it again
+// after 1.1 s. It reports whether another task of the job starts there within 0.1 s.
+func (h *harness) crashDuringStarts(id, runner, address string, p *proxy) (started bool, err error) {
+	x := h.runners[runner]
+	p.down()
+	x.signal(syscall.SIGKILL)
+	h.log("runner %s crashes", runner)
+	crashed := time.Now()
+	<-x.done
+	time.Sleep(time.Until(crashed.Add(1100 * time.Millisecond)))
+	before := len(h.eventsOf("START", id))
+	if err := h.startRunner(runner, address, p.address, "--rack", "r0"); err != nil {
+		return false, err
+	}
+	time.Sleep(50 * time.Millisecond)
+	if err := p.up(); err != nil {
+		return false, err
+	}
+	h.log("runner %s is up again", runner)
+	for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end) && !started; time.Sleep(100 * time.Microsecond) {
+		started = len(h.eventsOf("START", id)) > before
+	}
+	time.Sleep(5 * time.Millisecond)
+	return started, nil
+}
+
+// twice returns how many starts there were of tasks that ran elsewhere at that time, on a runner
+// that was up.
+func (h *harness) twice() int {
+	h.mu.Lock()
+	events := append([]event(nil), h.events...)
+	h.mu.Unlock()
+	sortEvents(events)
+	type place struct {
+		runner string
+		born   int64
+	}
+	life := make(map[string]int64)
+	running := make(map[string]map[place]int64)
+	n := 0
+	for _, e := range events {
+		here := place{e.runner, e.born}
+		switch e.what {
+		case "UP":
+			life[e.runner] = e.born
+		case "START":
+			for o, run := range running[e.task] {
+				if life[o.runner] == o.born {
+					n++
+					h.log("task %s: run %d starts on %s while run %d is on %s", e.task, e.run, e.runner, run, o.runner)
+				}
+			}
+			if running[e.task] == nil {
+				running[e.task] = make(map[place]int64)
+			}
+			running[e.task][here] = e.run
+		case "END":
+			delete(running[e.task], here)
+		}
+	}
+	return n
+}
