--- a/review/_standin2/crash.go
+++ b/review/_standin2/crash.go
@@ -52,7 +52,7 @@
 	}
 	for n := 0; h.trouble && n < 5; n++ {
 		time.Sleep(3500 * time.Millisecond)
-		p := h.runners[target]
+		p := h.process(target)
 		p.signal(syscall.SIGKILL)
 		h.log("runner %s crashes", target)
 		<-p.done
--- a/review/_standin2/harness.go
+++ b/review/_standin2/harness.go
@@ -38,6 +38,9 @@
 	procs   []*proc
 	daemons []*daemon
 	runners map[string]*proc
+	// onStart is called with the next start of a task of onStartJob, once.
+	onStart    func(runner string)
+	onStartJob string
 }
 
 // event is a line of a runner.
@@ -222,6 +225,13 @@
 	return nil
 }
 
+// process returns a runner's process.
+func (h *harness) process(runner string) *proc {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runners[runner]
+}
+
 func (h *harness) runnerLine(line string) {
 	f := strings.Fields(line)
 	if len(f) < 7 {
@@ -234,7 +244,14 @@
 	e := event{f[0], f[1], born, f[3], run, time.UnixMilli(ms), f[6]}
 	h.mu.Lock()
 	h.events = append(h.events, e)
+	var call func(runner string)
+	if e.what == "START" && h.onStart != nil && strings.HasPrefix(e.task, h.onStartJob) {
+		call, h.onStart = h.onStart, nil
+	}
 	h.mu.Unlock()
+	if call != nil {
+		call(e.runner)
+	}
 	h.log("runner %s (born %d) %s %s run %d %s", e.runner, e.born, e.what, e.task, e.run, e.more)
 }
 
--- a/review/_standin2/kind.go
+++ b/review/_standin2/kind.go
@@ -9,14 +9,27 @@
 // wide is the number of tasks of the widest job of the small deployments.
 const wide = 72
 
-// firstStart waits for the first start of a job's tasks and returns the runner that began it.
-func (h *harness) firstStart(id string) (runner string, ok bool) {
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Microsecond) {
-		if all := h.eventsOf("START", id); len(all) > 0 {
-			return all[0].runner, true
+// handIn hands a job in and returns the runner that begins its first task, after it has called
+// crash with it if that isn't nil.
+func (h *harness) handIn(id string, j object, crash func(runner string)) (runner string, err error) {
+	begun := make(chan string, 1)
+	h.mu.Lock()
+	h.onStartJob, h.onStart = id, func(runner string) {
+		if crash != nil {
+			crash(runner)
 		}
+		begun <- runner
+	}
+	h.mu.Unlock()
+	if !h.submit(h.daemons[0], "/batch/", id, j) {
+		return "", fmt.Errorf("the job was not accepted")
+	}
+	select {
+	case runner := <-begun:
+		return runner, nil
+	case <-time.After(10 * time.Second):
+		return "", fmt.Errorf("the job did not start")
 	}
-	return "", false
 }
 
 // playKind: a runner crashes while a wide job starts there, and comes up as another kind under the
@@ -43,26 +56,23 @@
 		return cantPlay, err
 	}
 	// Whether a start is sent to the runner's next life depends on what is tried first after the
-	// crash, a start or a renewal; so there are up to three crashes.
+	// crash, a start or a renewal; so there are up to five crashes.
 	wrong, right := 0, 0
-	for n := 0; n < 3 && wrong == 0; n++ {
+	for n := 0; n < 5 && wrong == 0; n++ {
 		time.Sleep(5 * time.Second)
 		id := jobID()
-		handed := make(chan bool)
-		go func() {
-			handed <- h.submit(h.daemons[0], "/batch/", id, job(9500, wide, 0, 9500, object{"requirements": "a"}))
-		}()
-		if _, ok := h.firstStart(id); !ok {
-			return cantPlay, fmt.Errorf("the job did not start")
+		var crash func(string)
+		if h.trouble {
+			crash = func(string) { h.crash(target, p) }
+		}
+		if _, err := h.handIn(id, job(9500, wide, 0, 9500, object{"requirements": "a"}), crash); err != nil {
+			return cantPlay, err
 		}
 		if h.trouble {
 			if err := h.restartAs("b", target, address, p); err != nil {
 				return cantPlay, err
 			}
 		}
-		if !<-handed {
-			return cantPlay, fmt.Errorf("the job was not accepted")
-		}
 		time.Sleep(3 * time.Second)
 		h.call(h.daemons[0], "DELETE", "/batch/"+id, nil, 3*time.Second)
 		for _, e := range h.eventsOf("START", id) {
@@ -76,6 +86,7 @@
 		if !h.trouble {
 			break
 		}
+		h.crash(target, p)
 		if err := h.restartAs("a", target, address, p); err != nil {
 			return cantPlay, err
 		}
@@ -86,13 +97,16 @@
 	return held, nil
 }
 
-// restartAs ends a runner's process and starts it again after half a second as another kind.
-func (h *harness) restartAs(kind, runner, address string, p *proxy) error {
-	x := h.runners[runner]
+// crash ends a runner's process and refuses connections to it.
+func (h *harness) crash(runner string, p *proxy) {
 	p.down()
-	x.signal(syscall.SIGKILL)
+	h.process(runner).signal(syscall.SIGKILL)
 	h.log("runner %s crashes", runner)
-	<-x.done
+}
+
+// restartAs starts a runner that has crashed again after half a second, as a kind.
+func (h *harness) restartAs(kind, runner, address string, p *proxy) error {
+	<-h.process(runner).done
 	time.Sleep(500 * time.Millisecond)
 	if err := h.startRunner(runner, address, p.address, "--rack", "r1", "--kind", kind); err != nil {
 		return err
--- a/review/_standin2/lease.go
+++ b/review/_standin2/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -34,57 +33,52 @@
 	}
 	// A start that is sent to the next life of a runner has a deadline by the clock of the life
 	// before. Whether one is sent depends on what is tried first after the crash, a start or a
-	// renewal; so there are up to three crashes, 12 s apart.
-	crossed := false
-	for n := 0; n < 3 && !crossed; n++ {
+	// renewal; so there are up to three crashes.
+	twice := 0
+	for n := 0; n < 3 && twice == 0; n++ {
 		time.Sleep(12 * time.Second)
 		id := jobID()
-		handed := make(chan bool)
-		go func() {
-			handed <- h.submit(h.daemons[0], "/batch/", id, job(14_000, wide, 0, 14_000, nil))
-		}()
-		runner, ok := h.firstStart(id)
-		if !ok {
-			return cantPlay, fmt.Errorf("the job did not start")
+		var crash func(string)
+		if h.trouble {
+			crash = func(runner string) { h.crash(runner, all[runner].p) }
 		}
-		if !h.trouble {
-			<-handed
-			break
-		}
-		target := all[runner]
-		var err error
-		if crossed, err = h.crashDuringStarts(id, target.id, target.address, target.p); err != nil {
+		runner, err := h.handIn(id, job(14_000, wide, 0, 14_000, nil), crash)
+		if err != nil {
 			return cantPlay, err
 		}
-		if crossed {
-			h.log("runner %s is cut off", target.id)
-			target.p.cut()
-			time.Sleep(5500 * time.Millisecond)
-			target.p.heal()
-			h.log("runner %s is back", target.id)
+		if h.trouble {
+			target := all[runner]
+			started, err := h.restartDuringStarts(id, target.id, target.address, target.p)
+			if err != nil {
+				return cantPlay, err
+			}
+			if started {
+				h.log("runner %s is cut off", target.id)
+				target.p.cut()
+				time.Sleep(5500 * time.Millisecond)
+				target.p.heal()
+				h.log("runner %s is back", target.id)
+			}
 		}
-		if !<-handed {
-			return cantPlay, fmt.Errorf("the job was not accepted")
+		time.Sleep(5 * time.Second)
+		twice = h.twice()
+		h.log("%d tasks were started while they ran elsewhere", twice)
+		h.call(h.daemons[0], "DELETE", "/batch/"+id, nil, 3*time.Second)
+		if !h.trouble {
+			break
 		}
 	}
-	time.Sleep(16 * time.Second)
-	twice := h.twice()
-	h.log("%d tasks were started while they ran elsewhere", twice)
 	if twice > 0 {
 		return broken, nil
 	}
 	return held, nil
 }
 
-// crashDuringStarts ends a runner's process at the first start of a job's tasks, and starts it again
-// after 1.1 s. It reports whether another task of the job starts there within 0.1 s.
-func (h *harness) crashDuringStarts(id, runner, address string, p *proxy) (started bool, err error) {
-	x := h.runners[runner]
-	p.down()
-	x.signal(syscall.SIGKILL)
-	h.log("runner %s crashes", runner)
+// restartDuringStarts starts a runner that has crashed again after 1.1 s. It reports whether a task
+// of a job starts there within 0.1 s.
+func (h *harness) restartDuringStarts(id, runner, address string, p *proxy) (started bool, err error) {
 	crashed := time.Now()
-	<-x.done
+	<-h.process(runner).done
 	time.Sleep(time.Until(crashed.Add(1100 * time.Millisecond)))
 	before := len(h.eventsOf("START", id))
 	if err := h.startRunner(runner, address, p.address, "--rack", "r0"); err != nil {
