--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,7 +21,7 @@
 	play func(h *harness) (verdict, error)
 }{
 	"lease":   {"brunnsrota-dw", playLease},
-	"stall":   {"brunnsrota-dw-grown", playStall},
+	"crash":   {"brunnsrota-dw", playCrash},
 	"cancel":  {"umw-reprints", playCancel},
 	"kind":    {"brunnsrota-dw", playKind},
 	"pending": {"umw-reprints", playPending},
