--- a/review/_standin2/harness.go
+++ b/review/_standin2/harness.go
@@ -213,8 +213,10 @@
 // startRunner starts a runner as a process on an address, registered at another one if
 // advertised isn't empty.
 func (h *harness) startRunner(id, listen, advertised string, more ...string) error {
-	args := append([]string{os.Args[0], "runner", "--id", id, "--listen", listen, "--advertised", advertised, "--store", h.storeAddr, "--service", service,
-		"--max-hold", fmt.Sprint(h.site.maxHoldMS) + "ms", "--stop-time", fmt.Sprint(h.site.stopMS/2) + "ms"}, more...)
+	args := append([]string{
+		os.Args[0], "runner", "--id", id, "--listen", listen, "--advertised", advertised, "--store", h.storeAddr, "--service", service,
+		"--max-hold", fmt.Sprint(h.site.maxHoldMS) + "ms", "--stop-time", fmt.Sprint(h.site.stopMS/2) + "ms",
+	}, more...)
 	p, err := h.spawn(h.runnerLine, nil, args...)
 	if err != nil {
 		return err
