--- a/review/_standin2/cancel.go
+++ b/review/_standin2/cancel.go
@@ -58,6 +58,13 @@
 			}
 		})
 	}
+	// The other clients, six in ten, hand their jobs in elsewhere and stay.
+	for i := range 15 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 30 * time.Millisecond)
+			h.submit(h.daemons[i%7], "/normal/", jobID(), job(1000, 1, 1, 1000, nil))
+		})
+	}
 	wg.Wait()
 	if h.trouble {
 		time.Sleep(time.Until(began.Add(5 * time.Second)))
