Send a start only to the incarnation on which its task was placed

Cause: an order names a worker by an ID and an address that its next incarnation shares. The planner compared incarnations once, before an order was handed to a task. Starts that were refused while the worker was down were sent again for 1.3 s, and its next incarnation began them: perhaps of another kind, and with the longest lease, as the deadline is a time on the clock of the incarnation before. The planner then took the lease to be over 4 s too soon.

Change: a start carries its incarnation, and the client sends it only on a connection on which that incarnation has responded. A connection ends with its process, so this holds for each attempt, however long it waits. A new connection is identified by a renewal without a deadline. Another incarnation ends the start at once. The wait for a renewal before a start without a response was repeated is replaced by this. A stand-in machine can refuse connections while its process is down, and the HTTP stand-in ends connections with their incarnation.

--- a/internal/fleet/planner/export_test.go
+++ b/internal/fleet/planner/export_test.go
@@ -14,7 +14,7 @@
 	return w.abandonAt(now.Add(-termAge), maxLease, true).Sub(now)
 }
 
-// RepeatStarts repeats starts also to workers that may have restarted.
+// RepeatStarts sends starts also to workers that have restarted.
 func RepeatStarts(p *Planner) { p.disabled.restartCheck = true }
 
 // Guards disable the guards of the run protocol, by name.
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -111,33 +111,24 @@
 	var timeout time.Duration
 	var client WorkerClient
 	known := false
-	ctx, cancel := context.WithCancel(t.ctx)
-	defer cancel()
 	t.locked(func() {
 		if known = t.workers[w.id] == w; known {
 			renewal, client = t.nextRenewal(w, sentAt), w.client
 			timeout = renewal.MaxWait + w.renewalSlack()
-			if renewal.MaxWait > 0 {
-				w.cutShort = cancel
-			}
 		}
 	})
 	if !known {
 		w.client.Close()
 		return 0, false
 	}
-	callCtx, cancelCall := context.WithTimeout(ctx, timeout)
-	report, err := client.Renew(callCtx, renewal)
-	cancelCall()
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	report, err := client.Renew(ctx, renewal)
+	cancel()
 	if t.ctx.Err() != nil {
 		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w.cutShort = nil
-	if err != nil && ctx.Err() != nil {
-		return 0, true
-	}
 	took := boottime.Since(sentAt)
 	t.p.Meter.Time("hold_call_time", took)
 	if err == nil && renewal.MaxWait == 0 {
@@ -180,7 +171,7 @@
 	if len(w.members) > 0 || len(w.unknownRuns) > 0 {
 		o.MaxWait = min(max(renewalWait, renewalWait*time.Duration(len(t.listed))/renewalWaitWorkers), idleRenewalWait)
 	}
-	if t.p.Disabled[policy.WaitingRenewals] || w.awaited > 0 {
+	if t.p.Disabled[policy.WaitingRenewals] {
 		o.MaxWait = 0
 	}
 	o.MaxWait = min(o.MaxWait, time.Duration(float64(lease)*maxWaitShare)).Truncate(time.Millisecond)
@@ -206,7 +197,7 @@
 	if w.unresponsive {
 		t.p.Log.Info("worker reached again", "worker", w.id)
 	}
-	w.unresponsive, w.clock, w.respondedAt, w.answeredAt = false, report.Clock, boottime.Now(), sentAt
+	w.unresponsive, w.clock, w.respondedAt = false, report.Clock, boottime.Now()
 	if report.Incarnation != w.incarnation && w.incarnation != 0 {
 		t.applyRestart(w, report.Incarnation)
 		return 0
@@ -305,7 +296,7 @@
 		m.unit.recordStarted(time.Now())
 	}
 	if m.incarnation != w.incarnation {
-		// A repeated start has reached the next incarnation.
+		// An order that was carried out late has reached the next incarnation.
 		t.recordLoss(w, m)
 	}
 	m.incarnation, m.reported, m.unit.job.begun = w.incarnation, true, true
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -12,7 +12,8 @@
 
 const (
 	// orderTimeout bounds one attempt of a start or a stop, besides the round trips on a
-	// new connection.
+	// new connection: two for a stop, and a third that identifies the incarnation for a
+	// start.
 	orderTimeout = 350 * time.Millisecond
 	// startWindow is how long a start may take effect; the worker rejects it later than
 	// that. Round trips are added, as for startRetryTime.
@@ -38,7 +39,10 @@
 	now := boottime.Now()
 	order := StartOrder{
 		Task: m.task(), Run: m.run, Specification: m.unit.job.spec.Job.Specification,
-		Deadline: t.startDeadline(w, now), Token: m.token, Checkpoint: m.unit.checkpoint,
+		Deadline: t.startDeadline(w, now), Token: m.token, Checkpoint: m.unit.checkpoint, Incarnation: m.incarnation,
+	}
+	if t.p.disabled.restartCheck {
+		order.Incarnation = 0
 	}
 	w.leaseUntil = max(w.leaseUntil, order.Deadline)
 	m.startSent, m.startInFlight = true, true
@@ -46,12 +50,13 @@
 		m.unit.ledger.Switch(cause.Start, time.Now())
 	}
 	client, roundTrip := w.client, w.roundTrip
-	t.goTask("start", func() { t.sendStart(m, client, order, now.Add(startRetryTime+2*roundTrip), orderTimeout+2*roundTrip) })
+	t.goTask("start", func() { t.sendStart(m, client, order, now.Add(startRetryTime+2*roundTrip), orderTimeout+3*roundTrip) })
 }
 
-// sendStart sends a start and repeats it until the worker responds or the time is over.
+// sendStart sends a start and repeats it until the incarnation for which it is meant
+// responds, another one does, or the time is over.
 func (t *term) sendStart(m *member, client WorkerClient, order StartOrder, deadline boottime.Time, timeout time.Duration) {
-	maybeStarted := false
+	maybeStarted, reason := false, "could not be sent"
 	start := time.Now()
 	for t.ctx.Err() == nil && t.valid() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
@@ -71,15 +76,20 @@
 			return
 		}
 		maybeStarted = maybeStarted || fault.Is(err, fault.AnswerLost)
+		if fault.Is(err, fault.NoTarget) {
+			// The incarnation for which the start was meant never responds again.
+			reason = "another incarnation of the worker responded"
+			break
+		}
 		if boottime.Now() >= deadline || t.startObsolete(m) {
 			break
 		}
 		pause.For(t.ctx, orderRetryPause)
-		if t.startObsolete(m) || maybeStarted && !t.awaitWorker(m, deadline) {
+		if t.startObsolete(m) {
 			break
 		}
 	}
-	t.handleUnansweredStart(m, maybeStarted)
+	t.handleUnansweredStart(m, maybeStarted, reason)
 }
 
 // startObsolete reports whether a run must not start any more, or has already ended.
@@ -89,43 +99,6 @@
 	return m.stopping || m.removed
 }
 
-// awaitWorker waits until the worker of a member has responded to a renewal that is sent from
-// now on, and reports whether it has done so in time as the incarnation on which the member was
-// placed. Any other one would carry out a repeated start.
-func (t *term) awaitWorker(m *member, deadline boottime.Time) bool {
-	if t.p.disabled.restartCheck {
-		return true
-	}
-	since := boottime.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := t.workers[m.worker]
-	if w == nil {
-		return false
-	}
-	w.awaited++
-	defer func() { w.awaited-- }()
-	if w.cutShort != nil {
-		w.cutShort()
-	}
-	w.endPause()
-	for t.ctx.Err() == nil && boottime.Now() < deadline && !m.stopping && !m.removed {
-		switch {
-		case w.unresponsive || w.incarnation != m.incarnation:
-			return false
-		case w.answeredAt >= since:
-			return true
-		}
-		t.mu.Unlock()
-		pause.For(t.ctx, answerPollInterval)
-		t.mu.Lock()
-	}
-	return false
-}
-
-// answerPollInterval is the interval at which a start looks for the response to a renewal.
-const answerPollInterval = 10 * time.Millisecond
-
 // orderRetryPause is the pause between two attempts of an order.
 const orderRetryPause = 30 * time.Millisecond
 
@@ -204,8 +177,8 @@
 }
 
 // handleUnansweredStart stops a run that may have started. An acknowledged stop prevents
-// it from starting later. A run for which nothing was sent is abandoned.
-func (t *term) handleUnansweredStart(m *member, sent bool) {
+// it from starting later. A run for which nothing was sent is abandoned for a reason.
+func (t *term) handleUnansweredStart(m *member, sent bool, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.startInFlight = false
@@ -213,7 +186,7 @@
 		return
 	}
 	if !sent {
-		t.abandonStart(m, "could not be sent")
+		t.abandonStart(m, reason)
 		t.notify()
 		return
 	}
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -72,8 +72,8 @@
 	// persistResultFirst: a run result is persisted before it is acknowledged to the
 	// worker.
 	persistResultFirst bool
-	// restartCheck: a start without a response is not repeated to a worker that may have
-	// restarted.
+	// restartCheck: a start is sent only to the incarnation of the worker on which it was
+	// placed.
 	restartCheck bool
 	// awaitAllResults: a run that is not listed counts as lost only if the worker has listed
 	// all its results.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"context"
 	"sort"
 	"time"
 
@@ -222,12 +221,6 @@
 	clock       time.Duration
 	respondedAt boottime.Time
 	leaseUntil  time.Duration
-	// answeredAt is when the last renewal that was answered was sent.
-	answeredAt boottime.Time
-	// cutShort ends the renewal that is under way, if the worker may delay its response; nil for
-	// none. awaited counts the starts that wait for the response to a new renewal.
-	cutShort context.CancelFunc
-	awaited  int
 	// roundTrip is the shortest time of a call that the worker answered without delay.
 	roundTrip time.Duration
 	// restartedAt is when this term detected the start of the current incarnation; zero
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -30,6 +30,9 @@
 	Deadline   time.Duration
 	Token      int64
 	Checkpoint string
+	// Incarnation is the only incarnation of the worker that may receive the order: the
+	// next one has another clock, may be of another kind and knows no token. 0 permits any.
+	Incarnation int64
 }
 
 // LeaseRenewal extends the leases of all runs on a worker and requests a report of them.
@@ -99,8 +102,11 @@
 
 // WorkerClient sends orders to one worker.
 //
-// Its errors have these kinds: Unreachable when nothing was sent; AnswerLost when the
-// order may have been, or may yet be, carried out; Fenced when the worker has seen a
+// Start sends an order only on a connection on which the order's incarnation has
+// responded: a connection ends with its incarnation, so the order can't reach the next one.
+//
+// Its errors have these kinds: Unreachable when the order was not sent; AnswerLost when it
+// may have been, or may yet be, carried out; Fenced when the worker has seen a
 // higher token; Deadline when the order arrived too late; Overloaded when the worker
 // lacks free capacity; Conflict when a run with the same or a higher number has ended
 // there; NoTarget when another incarnation of the worker responded; NotStarted when the
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -65,7 +65,7 @@
 	mux.HandleFunc("POST /v1/kv-keep/{id}", w.keepAlive)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", w.revoke)
 	var err error
-	if w.StoreAddress, err = w.serve(mux); err != nil {
+	if w.StoreAddress, err = w.serve(mux, nil); err != nil {
 		return err
 	}
 	for _, id := range workers {
@@ -83,12 +83,13 @@
 	}
 }
 
-func (w *Wire) serve(h http.Handler) (string, error) {
+// serve serves on a free port. connContext is that of http.Server; nil for none.
+func (w *Wire) serve(h http.Handler, connContext func(ctx context.Context, c net.Conn) context.Context) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnContext: connContext}
 	w.servers = append(w.servers, s)
 	go func() { _ = s.Serve(l) }()
 	return l.Addr().String(), nil
@@ -114,7 +115,9 @@
 	mux.HandleFunc("POST /v1/run-start", func(rw http.ResponseWriter, r *http.Request) { start(rw, r, client) })
 	mux.HandleFunc("POST /v1/run-stop", func(rw http.ResponseWriter, r *http.Request) { stop(rw, r, client) })
 	mux.HandleFunc("POST /v1/hold", func(rw http.ResponseWriter, r *http.Request) { renew(rw, r, client) })
-	address, err := w.serve(mux)
+	address, err := w.serve(endWithIncarnation(client.Worker, mux), func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, incarnationKey{}, client.Worker.Snapshot().Incarnation)
+	})
 	if err == nil && w.AdvertisedAddress != nil {
 		address, err = w.AdvertisedAddress(id, address)
 	}
@@ -124,6 +127,19 @@
 	return w.Register(id, address)
 }
 
+// incarnationKey is the key of the worker's incarnation in the context of a connection.
+type incarnationKey struct{}
+
+// endWithIncarnation ends the connections to earlier incarnations of a worker.
+func endWithIncarnation(x *world.Worker, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(incarnationKey{}) != x.Snapshot().Incarnation {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
 // Register writes the registration of a worker's current incarnation.
 func (w *Wire) Register(id, address string) error {
 	x := w.World.Worker(id).Snapshot()
--- a/internal/standin/world/crash.go
+++ b/internal/standin/world/crash.go
@@ -48,9 +48,9 @@
 
 // crashes holds the crashing tasks and what they caused.
 type crashes struct {
-	newIDs bool
-	jobs   map[string]*Crashing
-	all    []Crash
+	newIDs, refuse bool
+	jobs           map[string]*Crashing
+	all            []Crash
 	// caused counts the crashes that a task caused, and startsAfter its starts after
 	// budgetCrashes of them.
 	caused, startsAfter map[planner.TaskID]int
@@ -83,6 +83,23 @@
 	w.crashes.newIDs = newIDs
 }
 
+// SetRefuseWhileDown sets whether a machine whose process has ended refuses connections, as
+// one that keeps its power does. Otherwise it does not respond.
+func (w *World) SetRefuseWhileDown(refuse bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes.refuse = refuse
+}
+
+// SetLabels sets the labels of a worker that is down: a new incarnation may be of another
+// kind.
+func (w *World) SetLabels(id string, labels ...string) {
+	x := w.current(id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.Info.Labels = labels
+}
+
 // Crashes returns the crashes that the tasks of a job caused, in their order.
 func (w *World) Crashes(job string) []Crash {
 	w.mu.Lock()
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
@@ -268,7 +269,8 @@
 	x.lease = max(x.lease, min(deadline, x.clock()+x.world.Bounds.MaxLease))
 }
 
-func (x *Worker) acceptStart(o planner.StartOrder) error {
+// acceptStart carries out a start that arrives on a connection to a process; 0 for any.
+func (x *Worker) acceptStart(o planner.StartOrder, process int64) error {
 	w := x.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -277,6 +279,8 @@
 	switch {
 	case !x.up:
 		return x.downError()
+	case process != 0 && process != x.startedAt.UnixNano():
+		return fault.New(fault.AnswerLost, "the worker's process ended, and its connection with it")
 	case x.rejectsToken(o.Token):
 		return fault.New(fault.Fenced, "fence")
 	case o.Deadline <= x.clock():
@@ -358,6 +362,11 @@
 	// connectedProcess is the process that answered the last renewal, and
 	// connectedIncarnation the incarnation that it reported; 0 for none.
 	connectedProcess, connectedIncarnation int64
+
+	mu sync.Mutex
+	// startProcess and startIncarnation are the same for the connections on which starts are
+	// sent.
+	startProcess, startIncarnation int64
 }
 
 // Start implements planner.WorkerClient.
@@ -366,17 +375,70 @@
 		<-ctx.Done()
 		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no response")
 	}
-	errs := make(chan error, 1)
-	if err := c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(context.Context) { errs <- c.Worker.acceptStart(o) }); err != nil {
+	process, err := c.connect(ctx, &o)
+	if err != nil {
 		return err
 	}
-	return c.answerLostIfDown(<-errs)
+	errs := make(chan error, 1)
+	err = c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(context.Context) { errs <- c.Worker.acceptStart(o, process) })
+	if err == nil {
+		err = c.answerLostIfDown(<-errs)
+	}
+	if fault.Is(err, fault.AnswerLost) {
+		c.setStartProcess(0, 0)
+	}
+	return err
+}
+
+// connect returns the process that has responded as the incarnation for which an order is
+// meant; 0 if it is meant for any.
+func (c *Client) connect(ctx context.Context, o *planner.StartOrder) (process int64, err error) {
+	c.mu.Lock()
+	process = c.startProcess
+	known := c.startIncarnation == o.Incarnation
+	c.mu.Unlock()
+	if o.Incarnation == 0 || known {
+		return process, nil
+	}
+	answers := make(chan renewAnswer, 1)
+	err = c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(ctx context.Context) {
+		answers <- c.waitForResults(ctx, planner.LeaseRenewal{Token: o.Token}, time.Now(), 0)
+	})
+	if err != nil {
+		return 0, unreachableIfLost(err)
+	}
+	a := <-answers
+	switch {
+	case a.err != nil:
+		return 0, a.err
+	case a.report.Incarnation != o.Incarnation:
+		return 0, fault.New(fault.NoTarget, "another incarnation")
+	}
+	c.setStartProcess(a.process, o.Incarnation)
+	return a.process, nil
+}
+
+func (c *Client) setStartProcess(process, incarnation int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startProcess, c.startIncarnation = process, incarnation
 }
 
-// answerLostIfDown turns Unreachable into AnswerLost: a machine without power
-// refuses no connection, it does not respond.
+// unreachableIfLost turns AnswerLost into Unreachable: the order itself was not sent.
+func unreachableIfLost(err error) error {
+	if fault.Is(err, fault.AnswerLost) {
+		return fault.Wrap(fault.Unreachable, err, "no connection")
+	}
+	return err
+}
+
+// answerLostIfDown turns Unreachable into AnswerLost unless SetRefuseWhileDown was called
+// with true: a machine without power refuses no connection, it does not respond.
 func (c *Client) answerLostIfDown(err error) error {
-	if fault.Is(err, fault.Unreachable) {
+	w := c.Worker.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if fault.Is(err, fault.Unreachable) && !w.crashes.refuse {
 		return fault.Wrap(fault.AnswerLost, err, "no response")
 	}
 	return err
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -317,6 +318,9 @@
 	}
 	w.starts++
 	w.checkDuplicate(x, r)
+	if step.Label != "" && !slices.Contains(x.Info.Labels, step.Label) {
+		w.recordViolation("ROUTE: %v started on %s, which has the labels %v", o.Task, x.Info.ID, x.Info.Labels)
+	}
 	if x.exceedsCapacity(step.Shape.Plus(x.used()), time.Now()) {
 		w.recordViolation("LIMIT: %v exceeds the capacity of %s", o.Task, x.Info.ID)
 	}
