Try: open connections for starts while their placement is written

A start on a new connection waits for two more round trips, one to connect and one to identify the incarnation. This opens the connections as soon as the task is placed, beside the write of the placement.

--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -375,7 +375,7 @@
 		<-ctx.Done()
 		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no response")
 	}
-	process, err := c.connect(ctx, &o)
+	process, err := c.identify(ctx, o.Incarnation, o.Token)
 	if err != nil {
 		return err
 	}
@@ -390,19 +390,23 @@
 	return err
 }
 
-// connect returns the process that has responded as the incarnation for which an order is
-// meant; 0 if it is meant for any.
-func (c *Client) connect(ctx context.Context, o *planner.StartOrder) (process int64, err error) {
+// Connect implements planner.WorkerClient.
+func (c *Client) Connect(ctx context.Context, incarnation, token int64, _ int) {
+	_, _ = c.identify(ctx, incarnation, token)
+}
+
+// identify returns the process that has responded as an incarnation; 0 if that is 0.
+func (c *Client) identify(ctx context.Context, incarnation, token int64) (process int64, err error) {
 	c.mu.Lock()
 	process = c.startProcess
-	known := c.startIncarnation == o.Incarnation
+	known := c.startIncarnation == incarnation
 	c.mu.Unlock()
-	if o.Incarnation == 0 || known {
+	if incarnation == 0 || known {
 		return process, nil
 	}
 	answers := make(chan renewAnswer, 1)
 	err = c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(ctx context.Context) {
-		answers <- c.waitForResults(ctx, planner.LeaseRenewal{Token: o.Token}, time.Now(), 0)
+		answers <- c.waitForResults(ctx, planner.LeaseRenewal{Token: token}, time.Now(), 0)
 	})
 	if err != nil {
 		return 0, unreachableIfLost(err)
@@ -411,10 +415,10 @@
 	switch {
 	case a.err != nil:
 		return 0, a.err
-	case a.report.Incarnation != o.Incarnation:
+	case a.report.Incarnation != incarnation:
 		return 0, fault.New(fault.NoTarget, "another incarnation")
 	}
-	c.setStartProcess(a.process, o.Incarnation)
+	c.setStartProcess(a.process, incarnation)
 	return a.process, nil
 }
 
