--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -27,25 +27,6 @@
 	refusedStartCloseTime = 2 * time.Second
 )
 
-// connect opens the connections for a number of starts to each worker while their placements
-// are persisted, so that the starts need not wait for it.
-func (t *term) connect(starts map[*worker]int) {
-	for w, n := range starts {
-		if w.client == nil || t.p.disabled.restartCheck {
-			continue
-		}
-		connected := make(chan struct{})
-		w.connecting = connected
-		client, incarnation, token, timeout := w.client, w.incarnation, w.token, orderTimeout+2*w.roundTrip
-		t.goTask("connect", func() {
-			defer close(connected)
-			ctx, cancel := context.WithTimeout(t.ctx, timeout)
-			defer cancel()
-			client.Connect(ctx, incarnation, token, n)
-		})
-	}
-}
-
 // start sends the start of a member whose placement is persisted.
 func (t *term) start(m *member) {
 	w := t.workers[m.worker]
@@ -68,13 +49,8 @@
 	if !m.unit.aborting {
 		m.unit.ledger.Switch(cause.Start, time.Now())
 	}
-	client, roundTrip, connecting := w.client, w.roundTrip, w.connecting
-	t.goTask("start", func() {
-		if connecting != nil {
-			<-connecting
-		}
-		t.sendStart(m, client, order, now.Add(startRetryTime+2*roundTrip), orderTimeout+3*roundTrip)
-	})
+	client, roundTrip := w.client, w.roundTrip
+	t.goTask("start", func() { t.sendStart(m, client, order, now.Add(startRetryTime+2*roundTrip), orderTimeout+3*roundTrip) })
 }
 
 // sendStart sends a start and repeats it until the incarnation for which it is meant
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -53,18 +53,13 @@
 		stopped = append(stopped, v.running[r])
 		t.preempt(v.running[r])
 	}
-	starts := make(map[*worker]int)
 	for _, a := range decision.Starts {
 		if v.waiting[a.Unit].delaysStart() || !v.keepsIsolation(v.waiting[a.Unit], a.Workers) {
 			continue
 		}
 		placed = append(placed, v.waiting[a.Unit])
 		t.place(v, a, now)
-		for _, k := range a.Workers {
-			starts[v.workers[k]]++
-		}
 	}
-	t.connect(starts)
 	t.logUnits("pre-empted", stopped, now)
 	t.logUnits("placed", placed, now)
 	for _, n := range decision.Nominations {
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -221,9 +221,6 @@
 	clock       time.Duration
 	respondedAt boottime.Time
 	leaseUntil  time.Duration
-	// connecting is closed once the last connections for starts are open; nil before the
-	// first ones.
-	connecting <-chan struct{}
 	// roundTrip is the shortest time of a call that the worker answered without delay.
 	roundTrip time.Duration
 	// restartedAt is when this term detected the start of the current incarnation; zero
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -112,9 +112,6 @@
 // there; NoTarget when another incarnation of the worker responded; NotStarted when the
 // worker is not healthy.
 type WorkerClient interface {
-	// Connect opens connections on which an incarnation has responded to a renewal with a
-	// token, until n or as many as the client keeps are idle.
-	Connect(ctx context.Context, incarnation, token int64, n int)
 	Start(ctx context.Context, o StartOrder) error
 	Stop(ctx context.Context, task TaskID, run, token int64) error
 	Renew(ctx context.Context, o LeaseRenewal) (WorkerReport, error)
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -375,7 +375,7 @@
 		<-ctx.Done()
 		return fault.Wrap(fault.AnswerLost, ctx.Err(), "no response")
 	}
-	process, err := c.identify(ctx, o.Incarnation, o.Token)
+	process, err := c.connect(ctx, &o)
 	if err != nil {
 		return err
 	}
@@ -390,23 +390,19 @@
 	return err
 }
 
-// Connect implements planner.WorkerClient.
-func (c *Client) Connect(ctx context.Context, incarnation, token int64, _ int) {
-	_, _ = c.identify(ctx, incarnation, token)
-}
-
-// identify returns the process that has responded as an incarnation; 0 if that is 0.
-func (c *Client) identify(ctx context.Context, incarnation, token int64) (process int64, err error) {
+// connect returns the process that has responded as the incarnation for which an order is
+// meant; 0 if it is meant for any.
+func (c *Client) connect(ctx context.Context, o *planner.StartOrder) (process int64, err error) {
 	c.mu.Lock()
 	process = c.startProcess
-	known := c.startIncarnation == incarnation
+	known := c.startIncarnation == o.Incarnation
 	c.mu.Unlock()
-	if incarnation == 0 || known {
+	if o.Incarnation == 0 || known {
 		return process, nil
 	}
 	answers := make(chan renewAnswer, 1)
 	err = c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(ctx context.Context) {
-		answers <- c.waitForResults(ctx, planner.LeaseRenewal{Token: token}, time.Now(), 0)
+		answers <- c.waitForResults(ctx, planner.LeaseRenewal{Token: o.Token}, time.Now(), 0)
 	})
 	if err != nil {
 		return 0, unreachableIfLost(err)
@@ -415,10 +411,10 @@
 	switch {
 	case a.err != nil:
 		return 0, a.err
-	case a.report.Incarnation != incarnation:
+	case a.report.Incarnation != o.Incarnation:
 		return 0, fault.New(fault.NoTarget, "another incarnation")
 	}
-	c.setStartProcess(a.process, incarnation)
+	c.setStartProcess(a.process, o.Incarnation)
 	return a.process, nil
 }
 
