Withdraw a job that is cancelled before it is accepted

Cause: the 410 was answered because the store did not hold the job, and nothing was written. A VM that stood still, or a late write of the store, then accepted the job. A 410 acknowledges as a 2xx does.

Change: the cancellation of a job that is not stored writes a withdrawal, on the condition that neither it nor the job exists, and a submission has the same conditions. The store decides which came first; the 410 comes once the withdrawal is stored. A submission after that is refused with 422 key_reused. The planner removes withdrawals after twice status_s, each under its revision. An account may use a twentieth of the store's writes for them, all accounts a fifth, since callers can make up ids; more is refused with 503 and Retry-After. writes_per_s is read from the settings for that.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -78,8 +78,14 @@
 	Disabled policy.Disabled
 	// MaxValueBytes is the largest value that the store accepts, in bytes; 0 for no limit.
 	MaxValueBytes int
-	Log           *slog.Logger
-	Meter         *meter.Meter
+	// StoreWrites is the number of writes per second that the store accepts from all VMs
+	// together; 0 if the platform specifies none. VMs returns the number of VMs; nil for one.
+	StoreWrites float64
+	VMs         func() int
+	Log         *slog.Logger
+	Meter       *meter.Meter
+
+	withdrawals withdrawalLimit
 
 	mu      sync.Mutex
 	summary model.PlannerSummary
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -59,13 +59,15 @@
 		return err
 	}
 	existing, err := js.createOnce(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: store.SpecKey(j.ID)}},
+		Conditions: []store.Condition{{Key: store.SpecKey(j.ID)}, {Key: store.WithdrawnKey(j.ID)}},
 		Puts:       []store.Put{{Key: store.SpecKey(j.ID), Value: value}},
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if existing != nil {
+	case existing != nil && existing.Key == store.WithdrawnKey(j.ID):
+		return fault.WithField(fault.KeyReused, "id", "the job with this id was cancelled before it was accepted")
+	case existing != nil:
 		return js.checkResubmission(&s, existing)
 	}
 	js.Meter.Inc("job_accepted")
@@ -135,9 +137,10 @@
 	return nil
 }
 
-// createOnce applies a transaction whose only condition is that a key does not exist.
-// Because of the condition, it can be repeated and still takes effect at most once.
-// createOnce returns the existing item if the key existed before.
+// createOnce applies a transaction that creates the key of its first put, on the condition that
+// this and other keys do not exist. Because of the condition, it can be repeated and still
+// takes effect at most once. createOnce returns the item of the first condition whose key
+// existed before.
 func (js *JobService) createOnce(ctx context.Context, txn store.Txn) (*store.Item, error) {
 	ctx, cancel := withAnswerReserve(ctx)
 	defer cancel()
@@ -150,12 +153,10 @@
 			return nil, nil
 		}
 		if fault.Is(err, fault.Conflict) {
-			for i := range current {
-				if current[i].Key == txn.Conditions[0].Key {
-					return js.foreignItem(&current[i], txn, attempts.resultUnknown()), nil
-				}
+			if it := firstExisting(txn.Conditions, current); it != nil {
+				return js.foreignItem(it, txn, attempts.resultUnknown()), nil
 			}
-			err = fault.New(fault.StoreUnavailable, "the store's conflict response does not contain the key")
+			err = fault.New(fault.StoreUnavailable, "the store's conflict response contains no key of a condition")
 		} else if refusal := attempts.record(err); refusal != nil {
 			return nil, refusal
 		}
@@ -170,6 +171,18 @@
 	}
 }
 
+// firstExisting returns the item of the first condition that is among the current items, or nil.
+func firstExisting(conditions []store.Condition, current []store.Item) *store.Item {
+	for _, c := range conditions {
+		for i := range current {
+			if current[i].Key == c.Key {
+				return &current[i]
+			}
+		}
+	}
+	return nil
+}
+
 // writeAttempts records the failed attempts of one write.
 type writeAttempts struct {
 	// unansweredAt is when an attempt first got no response, so that the write may
@@ -225,7 +238,7 @@
 // foreignItem returns the existing item that a write conflicts with, or nil if an
 // earlier attempt of the same write created it.
 func (js *JobService) foreignItem(it *store.Item, txn store.Txn, unanswered bool) *store.Item {
-	if unanswered && bytes.Equal(it.Value, txn.Puts[0].Value) {
+	if put := &txn.Puts[0]; unanswered && it.Key == put.Key && bytes.Equal(it.Value, put.Value) {
 		return nil
 	}
 	return it
@@ -325,12 +338,17 @@
 	return planner.RecordedState(cancelled, r), nil
 }
 
-// Cancel cancels a job. It returns nil once the cancellation is persisted.
+// Cancel cancels a job. It returns nil once the cancellation is persisted, and an error of kind
+// JobUnknown once it is certain that no such job is accepted later.
 func (js *JobService) Cancel(ctx context.Context, t Target) error {
 	if t.JobID == "" {
 		return fault.WithField(fault.BadRequest, "id", "is missing")
 	}
-	if _, err := js.State(ctx, t); err != nil {
+	_, err := js.State(ctx, t)
+	if fault.Is(err, fault.JobUnknown) {
+		err = js.withdraw(ctx, t, err)
+	}
+	if err != nil {
 		return err
 	}
 	began := time.Now()
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -22,7 +22,10 @@
 	MetricsAddress   string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
-	Bounds       Bounds
+	// StoreWrites is the number of writes per second that the store accepts from all VMs
+	// together; 0 if the platform specifies none.
+	StoreWrites float64
+	Bounds      Bounds
 	// Cores is the CPU share of the VM in cores.
 	Cores float64
 	// MaxFileDescriptors bounds the file descriptors of the process; 0 for no bound.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -100,7 +100,10 @@
 		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
 	n.health = &health{log: n.Log, meter: n.Meter, notReady: n.notReady}
-	n.jobService = &entry.JobService{Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes, Log: n.Log, Meter: n.Meter}
+	n.jobService = &entry.JobService{
+		Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes,
+		StoreWrites: s.StoreWrites, VMs: func() int { return n.peers.Count() + 1 }, Log: n.Log, Meter: n.Meter,
+	}
 }
 
 // Stopping reports whether a planned stop of the daemon is in progress.
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -45,6 +45,32 @@
 	return &s, nil
 }
 
+// Withdrawal is the record of a job that was cancelled before it was accepted. It is written
+// once.
+type Withdrawal struct {
+	// AtMS is the Unix time of the cancellation in milliseconds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// Encode returns the record in its stored form.
+func (w Withdrawal) Encode() ([]byte, error) {
+	b, err := json.Marshal(w)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode a withdrawal")
+	}
+	return b, nil
+}
+
+// decodeWithdrawal decodes the record of a withdrawal. It returns an error of kind Internal if
+// the record is malformed.
+func decodeWithdrawal(b []byte) (Withdrawal, error) {
+	var w Withdrawal
+	if err := json.Unmarshal(b, &w); err != nil || w.AtMS <= 0 {
+		return Withdrawal{}, fault.New(fault.Internal, "the record of a withdrawal has no time: %q", b)
+	}
+	return w, nil
+}
+
 // RunRecord is the planner's record of the state of a job.
 type RunRecord struct {
 	// State is the terminal state; empty while the job has not ended.
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -295,6 +295,7 @@
 	t.goTask("follow jobs", t.watchJobs)
 	t.goTask("follow load", t.logLoadPeriodically)
 	t.goTask("remove records", t.removeExpiredPeriodically)
+	t.goTask("remove withdrawals", t.removeWithdrawalsPeriodically)
 	t.runTask("plan", t.planLoop)
 }
 
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -149,6 +149,9 @@
 	// RunPrefix is followed by the id of a job. Only the planner writes these
 	// keys.
 	RunPrefix = "dogwoodworks/run/"
+	// WithdrawnPrefix is followed by the id of a job that was cancelled before it was
+	// accepted.
+	WithdrawnPrefix = "dogwoodworks/withdrawn/"
 	// VMPrefix is followed by the id of a VM. These keys are under leases.
 	VMPrefix = "dogwoodworks/vm/"
 )
@@ -164,6 +167,10 @@
 // CancelKey returns the key that exists once a job is cancelled.
 func CancelKey(id string) string { return JobPrefix + id + cancelPart }
 
+// WithdrawnKey returns the key that excludes that a job is accepted. It is created only while
+// the job's SpecKey does not exist, and that one only while this key does not.
+func WithdrawnKey(id string) string { return WithdrawnPrefix + id }
+
 // RunKey returns the key of the planner's record of a job.
 func RunKey(id string) string { return RunPrefix + id }
 
--- a/internal/peer/vm/vm.go
+++ b/internal/peer/vm/vm.go
@@ -57,6 +57,13 @@
 	p.get(ip)
 }
 
+// Count returns the number of peers.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byIP)
+}
+
 func (p *Peers) get(ip string) *peer {
 	if p.byIP == nil {
 		p.byIP = make(map[string]*peer)
