Drop a nomination when its workers have changed

What callers would see: an urgent unit starts on a worker without the label that it needs, in another rack than the rest of its gang, or beside more tasks of its step than anti_affinity allows.

Cause: workers stay nominated for up to 1.2 s while room is cleared on them. Once it was free, the unit started there if the workers were open; label, rack, capacity and bound were looked at only when the workers were chosen. A worker that restarts meanwhile may be of another kind.

Evidence: the scripts claim_dropped_on_other_kind, _across_racks and _over_bound fail on the code before and pass now, with all tests of placement.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -321,17 +321,16 @@
 
 // processNominated starts a unit if the capacity on its nominated workers is
 // free, and otherwise keeps that capacity from other units. It drops the
-// nomination if one of the workers is no longer schedulable.
+// nomination if the unit may not run on these workers any more: one that has
+// restarted may be of another kind or in another rack.
 func (p *plan) processNominated(i int) {
 	u := &p.in.Waiting[i]
 	if u.Nominated == nil {
 		return
 	}
-	for _, w := range u.Nominated {
-		if !p.in.Workers[w].Schedulable {
-			u.Nominated = nil
-			return
-		}
+	if !p.mayRunOn(u, u.Nominated) {
+		u.Nominated = nil
+		return
 	}
 	ready := true
 	p.occupy(u, u.Nominated)
@@ -345,6 +344,20 @@
 	p.out.Nominations = append(p.out.Nominations, Assignment{Unit: i, Workers: u.Nominated})
 }
 
+// mayRunOn reports whether the tasks of a unit may run on workers if there is room.
+func (p *plan) mayRunOn(u *Unit, workers []int) bool {
+	chosen := make(map[int]int, len(workers))
+	for _, w := range workers {
+		if !p.eligible(u, w) || !u.allowsTask(w, chosen[w]) {
+			return false
+		}
+		chosen[w]++
+	}
+	return slices.ContainsFunc(p.workerGroups(u), func(group []int) bool {
+		return !slices.ContainsFunc(workers, func(w int) bool { return !slices.Contains(group, w) })
+	})
+}
+
 func (p *plan) occupy(u *Unit, workers []int) {
 	for _, w := range workers {
 		p.free[w] = p.free[w].Minus(u.Shape)
