Assume the longest lease after a restart of a worker

What callers would see: TWICE, tasks that run on two workers for up to 4 s.

Cause: an order that a worker's machine carries out late, after a restart, has a deadline by the clock of the incarnation before. It grants the longest lease of the platform (10 s on one site) to all that runs on the worker, also to what the planner starts there afterwards. The planner counted with the 5.5 s that it grants itself.

Change: from the detection of a restart on, leaseExpiry counts with the longest lease. This concerns workers that restart under the same ID and are silent again within 4.6 s.

--- a/internal/fleet/planner/lease.go
+++ b/internal/fleet/planner/lease.go
@@ -15,18 +15,27 @@
 
 // maxLeaseTime returns the longest time for which a lease that is granted now can last.
 func maxLeaseTime(maxLease time.Duration) time.Duration {
-	return time.Duration(float64(min(maxLease, leaseDuration))/minClockRate) + leaseSlack
+	return ownTime(min(maxLease, leaseDuration)) + leaseSlack
+}
+
+// ownTime returns the longest time on this VM's clock in which a worker's clock advances by d.
+func ownTime(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / minClockRate)
 }
 
 // leaseExpiry returns the time from which nothing that was placed on the worker can run
 // any more, if it does not respond again. Earlier terms also granted leases of at most
 // leaseDuration.
 func (w *worker) leaseExpiry(termStart boottime.Time, maxLease time.Duration) boottime.Time {
-	// Orders that were sent before the restart was detected may have started runs in the
-	// new incarnation.
-	expiry := max(termStart, w.restartedAt).Add(maxLeaseTime(maxLease))
+	expiry := termStart.Add(maxLeaseTime(maxLease))
+	if w.restartedAt != 0 {
+		// An order that was sent before the restart was detected may have reached the new
+		// incarnation. Its deadline, by the clock of the one before, grants the longest
+		// lease to all that runs there.
+		expiry = max(expiry, w.restartedAt.Add(ownTime(maxLease)+leaseSlack))
+	}
 	if w.respondedAt != 0 && w.leaseUntil > w.clock {
-		expiry = max(expiry, w.respondedAt.Add(time.Duration(float64(w.leaseUntil-w.clock)/minClockRate)+leaseSlack))
+		expiry = max(expiry, w.respondedAt.Add(ownTime(w.leaseUntil-w.clock)+leaseSlack))
 	}
 	return expiry
 }
--- a/internal/fleet/planner/restart_test.go
+++ b/internal/fleet/planner/restart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/planner"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/store"
+	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
 )
 
 // restartUnderStarts crashes a worker of the kind a while starts of tasks that need this kind
@@ -83,3 +84,58 @@
 // label that they need: starts refused by a worker that crashed reached its next incarnation,
 // of another kind.
 func TestRestartAsAnotherKindGetsNoStarts(t *testing.T) { checkRestartsUnderStarts(t, "ROUTE", "b") }
+
+// TestLateStartInNextIncarnationKeepsItsLease guards against tasks that run on two workers: a
+// start that a worker's machine carried out late, in the next incarnation, gives all that runs
+// there the longest lease, and the planner counted with the shorter one that it grants.
+func TestLateStartInNextIncarnationKeepsItsLease(t *testing.T) {
+	begun := 0
+	for down := minRestartTime; down < 600*time.Millisecond; down += 25 * time.Millisecond {
+		bubble(t, func(t *testing.T) {
+			bounds := testBounds
+			bounds.MaxLease = 10 * time.Second
+			fleet := newTestFleetWith(t, uint64(down), 2, bounds)
+			fleet.maxLease = bounds.MaxLease
+			defer fleet.close()
+			w := fleet.world
+			fleet.startVM("a")
+			time.Sleep(bounds.MaxLease)
+			// After this job the connection for starts is open.
+			fleet.submit(jobID(1), "solve", time.Second, step(1, 1, false))
+			time.Sleep(3 * time.Second)
+			starts := w.Starts()
+			link := fleet.link("a", "w0")
+			link.SetLateOutlive(true)
+			fleet.submit(jobID(2), "solve", 20*time.Second, step(4, 1, false))
+			for !w.Store.Has(store.RunKey(jobID(2))) {
+				time.Sleep(time.Millisecond)
+			}
+			link.Set(world.Faults{Late: 1})
+			time.Sleep(100 * time.Millisecond)
+			link.Set(world.Faults{})
+			w.Crash("w0")
+			link.Cut(true)
+			time.Sleep(down)
+			w.Restart("w0")
+			for until := time.Now().Add(4 * time.Second); w.Starts() == starts && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+			if w.Starts() > starts {
+				begun++
+			}
+			// The planner hears of the run.
+			link.Cut(false)
+			time.Sleep(900 * time.Millisecond)
+			link.Cut(true)
+			time.Sleep(9 * time.Second)
+			link.Cut(false)
+			time.Sleep(20 * time.Second)
+			if violations := fleet.allViolations(); len(violations) > 0 {
+				t.Errorf("down for %v: %v", down, violations)
+			}
+		})
+	}
+	if begun == 0 {
+		t.Error("no start was carried out by the next incarnation")
+	}
+}
--- a/internal/standin/world/link.go
+++ b/internal/standin/world/link.go
@@ -41,6 +41,9 @@
 	losesHeld bool
 	// lostStarts is the number of the next starts that do not arrive.
 	lostStarts int
+	// lateOutlive says that late calls are executed also after the incarnation of the other
+	// end has changed.
+	lateOutlive bool
 	// lateCalls counts the late calls that have not been executed yet.
 	lateCalls *sync.WaitGroup
 }
@@ -117,6 +120,20 @@
 	return l.losesHeld && o.MaxWait > 0
 }
 
+// SetLateOutlive sets whether late calls are executed also after the incarnation of the other
+// end has changed, as when the machine and not the process keeps them.
+func (l *Link) SetLateOutlive(outlive bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lateOutlive = outlive
+}
+
+func (l *Link) outlives() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lateOutlive
+}
+
 // Cut blocks the link or restores it. Calls on a blocked link time out.
 func (l *Link) Cut(cut bool) {
 	l.mu.Lock()
@@ -145,7 +162,7 @@
 
 // callOutcome is the latency and the fault chosen for one call.
 type callOutcome struct {
-	cut, refuse, lose, late                    bool
+	cut, refuse, lose, late, outlive           bool
 	requestLatency, responseLatency, lateDelay time.Duration
 	resume                                     chan struct{}
 }
@@ -156,7 +173,7 @@
 	x := l.rng.Float64()
 	f := l.faults
 	d := callOutcome{
-		cut: l.cut, resume: l.resume,
+		cut: l.cut, resume: l.resume, outlive: l.lateOutlive,
 		requestLatency: l.extraLatency + time.Duration(l.rng.Int64N(int64(maxLatency))), responseLatency: time.Duration(l.rng.Int64N(int64(maxLatency))),
 		lateDelay: time.Duration(l.rng.Int64N(int64(maxLate))),
 	}
@@ -173,7 +190,7 @@
 
 // call executes do at the other end of the link. refused is the kind of the error
 // of a refused call. A late call is dropped if the incarnation of the other end
-// has changed before it is executed.
+// has changed before it is executed, unless SetLateOutlive says otherwise.
 func (l *Link) call(ctx context.Context, refused fault.Kind, incarnation func() int64, do func(ctx context.Context)) error {
 	d := l.drawOutcome()
 	if d.resume != nil {
@@ -192,7 +209,7 @@
 		started := incarnation()
 		l.lateCalls.Go(func() {
 			time.Sleep(d.lateDelay)
-			if incarnation() != started {
+			if !d.outlive && incarnation() != started {
 				return
 			}
 			lateCtx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -380,6 +380,9 @@
 		return err
 	}
 	errs := make(chan error, 1)
+	if c.Link.outlives() {
+		process = 0
+	}
 	err = c.Link.call(ctx, fault.NotStarted, c.Worker.processStart, func(context.Context) { errs <- c.Worker.acceptStart(o, process) })
 	if err == nil {
 		err = c.answerLostIfDown(<-errs)
