--- a/internal/fleet/entry/withdraw.go
+++ b/internal/fleet/entry/withdraw.go
@@ -15,7 +15,7 @@
 // kind JobUnknown, once that is persisted, and nil if the job has been stored meanwhile.
 func (js *JobService) withdraw(ctx context.Context, t Target, unknown error) error {
 	began := time.Now()
-	if wait := js.withdrawals.take(began, t.Account, js.withdrawalRate()); wait > 0 {
+	if wait := js.withdrawals.take(began, t.Account, js.writesPerVM()); wait > 0 {
 		js.Meter.Inc("withdrawal_limited")
 		return &RetryLaterError{fault.New(fault.Overloaded, "too many cancellations of jobs that are not known"), wait}
 	}
@@ -52,9 +52,9 @@
 	defaultStoreWrites = 400
 )
 
-// withdrawalRate returns the store's writes per second that this VM may use if all VMs use the
-// same.
-func (js *JobService) withdrawalRate() float64 {
+// writesPerVM returns the number of writes per second that the store accepts, divided by the
+// number of VMs.
+func (js *JobService) writesPerVM() float64 {
 	rate, vms := js.StoreWrites, 1
 	if rate <= 0 {
 		rate = defaultStoreWrites
@@ -73,8 +73,8 @@
 	accounts map[string]*bucket
 }
 
-// take counts a withdrawal and returns 0, or how long later it may be made. writes is the rate
-// of the store's writes, per second, of which withdrawals have their shares.
+// take counts a withdrawal and returns 0, or how much later it may be made. writes is the
+// number of the store's writes per second of which withdrawals have their shares.
 func (l *withdrawalLimit) take(now time.Time, account string, writes float64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -104,8 +104,8 @@
 	at   time.Time
 }
 
-// wait returns how long later the next event may come at a rate of events per second; 0 for
-// now.
+// wait returns how much later the next event may come at a rate of events per second; 0 if it
+// may come now.
 func (b *bucket) wait(now time.Time, rate float64) time.Duration {
 	b.used = max(0, b.used-now.Sub(b.at).Seconds()*rate)
 	b.at = now
--- a/internal/fleet/planner/export_test.go
+++ b/internal/fleet/planner/export_test.go
@@ -14,8 +14,9 @@
 	return w.abandonAt(now.Add(-termAge), maxLease, true).Sub(now)
 }
 
-// RepeatStarts sends starts also to workers that have restarted.
-func RepeatStarts(p *Planner) { p.disabled.restartCheck = true }
+// StartOnAnyIncarnation sends starts also to other incarnations than those on which their tasks
+// were placed.
+func StartOnAnyIncarnation(p *Planner) { p.disabled.restartCheck = true }
 
 // Guards disable the guards of the run protocol, by name.
 var Guards = map[string]func(p *Planner){
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -230,12 +230,12 @@
 func TestResultsAreAcknowledgedOnTheirConnection(t *testing.T) {
 	needed := false
 	for down := minRestartTime; down < 600*time.Millisecond; down += 10 * time.Millisecond {
-		for _, disable := range []func(p *planner.Planner){nil, planner.RepeatStarts} {
+		for _, disable := range []func(p *planner.Planner){nil, planner.StartOnAnyIncarnation} {
 			if violations := restartDuringStart(t, down, false, disable); len(violations) > 0 {
 				t.Errorf("down for %v: %v", down, violations)
 			}
 		}
-		needed = needed || len(restartDuringStart(t, down, true, planner.RepeatStarts)) > 0
+		needed = needed || len(restartDuringStart(t, down, true, planner.StartOnAnyIncarnation)) > 0
 	}
 	if !needed {
 		t.Error("acknowledged on any connection: no schedule shows a violation")
--- a/internal/fleet/planner/restart_test.go
+++ b/internal/fleet/planner/restart_test.go
@@ -68,7 +68,7 @@
 		if broken(down, nil) {
 			t.Errorf("down for %v: %s is violated", down, rule)
 		}
-		needed = needed || broken(down, planner.RepeatStarts)
+		needed = needed || broken(down, planner.StartOnAnyIncarnation)
 	}
 	if !needed {
 		t.Errorf("starts sent to any incarnation: no restart violates %s", rule)
--- a/internal/standin/world/link.go
+++ b/internal/standin/world/link.go
@@ -121,7 +121,8 @@
 }
 
 // SetLateOutlive sets whether late calls are executed also after the incarnation of the other
-// end has changed, as when the machine and not the process keeps them.
+// end has changed, as when its machine and not its process keeps them. Starts then reach
+// whichever incarnation is up.
 func (l *Link) SetLateOutlive(outlive bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
