Stand-in over HTTP: a client for each lease renewal

TestOddWorkerEntriesAreIgnored and TestJobsContinueAfterPlannerChange failed under the race detector on. The daemons are not concerned.

--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -114,7 +114,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run-start", func(rw http.ResponseWriter, r *http.Request) { start(rw, r, client) })
 	mux.HandleFunc("POST /v1/run-stop", func(rw http.ResponseWriter, r *http.Request) { stop(rw, r, client) })
-	mux.HandleFunc("POST /v1/hold", func(rw http.ResponseWriter, r *http.Request) { renew(rw, r, client) })
+	mux.HandleFunc("POST /v1/hold", func(rw http.ResponseWriter, r *http.Request) {
+		// A client makes one renewal at a time, and callers also make some on other connections.
+		renew(rw, r, &world.Client{Worker: client.Worker, Link: client.Link})
+	})
 	address, err := w.serve(endWithIncarnation(client.Worker, mux), func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, incarnationKey{}, client.Worker.Snapshot().Incarnation)
 	})
