--- a/internal/fleet/planner/withdrawal.go
+++ b/internal/fleet/planner/withdrawal.go
@@ -19,8 +19,8 @@
 )
 
 // removeWithdrawalsPeriodically removes the withdrawals of jobs that are older than the records
-// of an ended job are retained, until the term ends. Callers wait for seconds and VMs stand
-// still for seconds, so no submission from before the withdrawal is under way any more.
+// of an ended job are retained, until the term ends. Callers wait for a minute at most and VMs
+// stand still for seconds, so no submission from before the withdrawal is under way any more.
 func (t *term) removeWithdrawalsPeriodically() {
 	for t.p.recordRetention() > 0 && pause.For(t.ctx, withdrawalInterval) {
 		items, _, err := t.readAll(store.WithdrawnPrefix)
