--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -77,6 +77,8 @@
 	IP              string
 	CallerAddress   string
 	OperatorAddress string
+	// PeerListener is the address of the peer listener behind the relay.
+	PeerListener string
 	// PeerAddress is the advertised peer address, which is the relay's.
 	PeerAddress string
 	// Relay forwards to the daemon's peer listener.
@@ -231,6 +233,7 @@
 	addresses := f.freeAddresses(ip, 3)
 	d := &Daemon{VM: vm, IP: ip, fleet: f, CallerAddress: addresses[0], OperatorAddress: addresses[1]}
 	peerAddress := addresses[2]
+	d.PeerListener = peerAddress
 	r, err := relay.Listen("127.0.0.1:0", peerAddress)
 	if err != nil {
 		f.t.Fatal(err)
