Platform: evacuation of a data centre

What callers saw: nothing, but the operators' order to start no more work in a data centre was not followed.

Cause: the planner neither read the keys op/evacuate/ZONE nor knew the data centres of the workers.

Change: the planner reads the keys each 0.7 s (1.4 calls a second) where the platform states evacuation_ms. It places nothing before the first reading, nor when the last one was sent over 0.7 of evacuation_ms before. Workers of an evacuated data centre get no unit, nomination, reservation, pre-emption, kept room or overdue unit, and their racks do not count for the rack of the data; their leases are renewed and their runs go on. Each attempt of a start is checked by the client after it has a connection, and the deadline of a start on the worker's clock follows from the last reading, so a start that is late for any reason is rejected by its worker. Units that wait for evacuated capacity say so (cause evacuated). Warm workers are preferred where places are packed about alike (prefer_warm).

Evidence: go test -count=1 ./internal/fleet/planner ./platform ./internal/decide/placement. 800 random schedules of faults with evacuations and a bound of 2 s have no late start; without the check one of the first 144 has. Without its part of the change, each of these tests fails: TestEvacuationOutlastsPlanner (placing before the first reading), TestPlacementIsWithdrawn (check before the start), TestStartsAwaitConfirmation (waiting for a reading), TestStartIsCheckedAfterConnecting and TestStartIsNotSentAfterRefusal (check after connecting), TestLateStartIsRejected (deadline), TestEvacuatedRackOfData (rack of the data), TestUnusableEvacuations (count once), and the placement scripts evacuated_*, overdue_avoids_evacuated, warm_before_cold, cold_keeps_packing.

--- a/internal/decide/cause/cause.go
+++ b/internal/decide/cause/cause.go
@@ -33,6 +33,9 @@
 	// Closed: the unit fits on workers that get no new work because they fail, are slow,
 	// are draining or do not respond.
 	Closed
+	// Evacuated: the unit fits on workers of data centres that are evacuated, or its run was
+	// withdrawn since one of them was.
+	Evacuated
 	// Freeing: running units are being stopped for the unit.
 	Freeing
 	// Lease: an earlier run may still be running on a worker that does not respond.
@@ -61,7 +64,7 @@
 
 var names = [count]string{
 	Accept: "accept", EarlierTerm: "earlier_term", PlannerChange: "planner_change", StoreUnavailable: "store_unavailable", NotDue: "not_due",
-	Plan: "plan", NoCapacity: "no_capacity", Fragmented: "fragmented", Reserved: "reserved", Kept: "kept_for_urgent", Closed: "closed_workers", Freeing: "freeing",
+	Plan: "plan", NoCapacity: "no_capacity", Fragmented: "fragmented", Reserved: "reserved", Kept: "kept_for_urgent", Closed: "closed_workers", Evacuated: "evacuated", Freeing: "freeing",
 	Lease: "lease", Persist: "persist", Start: "start", Run: "run",
 	Preempted: "preempted", Moved: "moved", WorkerLost: "worker_lost", RunFailed: "run_failed", StartFailed: "start_failed", Record: "record",
 }
--- a/internal/decide/placement/explain.go
+++ b/internal/decide/placement/explain.go
@@ -39,10 +39,13 @@
 		return cause.Reserved
 	}
 	p.useKept = true
-	defer func() { p.useKept, p.useClosed = false, false }()
+	defer func() { p.useKept, p.useClosed, p.useEvacuated = false, false, false }()
 	if p.findWorkers(u, p.free, false) != nil {
 		return cause.Kept
 	}
+	if p.isEvacuated(u) {
+		return cause.Evacuated
+	}
 	p.useClosed = true
 	if p.findWorkers(u, p.free, false) != nil {
 		return cause.Closed
--- a/internal/decide/placement/overdue.go
+++ b/internal/decide/placement/overdue.go
@@ -77,7 +77,7 @@
 func (p *plan) isBusy(service string) bool {
 	var capacity, free model.Shape
 	for w := range p.in.Workers {
-		if x := &p.in.Workers[w]; x.Service == service {
+		if x := &p.in.Workers[w]; x.Service == service && !x.Evacuated {
 			capacity, free = capacity.Plus(x.Capacity), free.Plus(p.free[w])
 		}
 	}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -28,6 +28,11 @@
 	// Reachable workers accept orders, and Schedulable ones also get new work: they are
 	// not closed.
 	Reachable, Schedulable bool
+	// Evacuated workers are in a data centre that is evacuated: they are neither Reachable
+	// nor Schedulable.
+	Evacuated bool
+	// Cold workers are slow for some time after their start.
+	Cold bool
 }
 
 // Unit is a waiting gang, or one waiting task of a step that is no gang.
@@ -176,6 +181,8 @@
 	// useKept and useClosed make workers eligible that are kept for urgent units, and
 	// those that accept no new work, to explain why a unit waits.
 	useKept, useClosed bool
+	// useEvacuated is the same for workers of evacuated data centres.
+	useEvacuated bool
 	// relaxed is what the search for capacity for an overdue unit disregards; 0 for
 	// nothing.
 	relaxed relaxation
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -11,9 +11,8 @@
 // empty.
 func (p *plan) eligible(u *Unit, w int) bool {
 	x := &p.in.Workers[w]
-	open := x.Schedulable || p.useClosed || p.relaxed >= relaxClosed && x.Reachable
 	avoided := u.Avoid[w] || u.AvoidFailed[w] && p.relaxed < relaxFailed
-	return open && x.Service == u.Service && !avoided && u.Shape.Fits(x.Capacity) &&
+	return p.isOpen(x) && x.Service == u.Service && !avoided && u.Shape.Fits(x.Capacity) &&
 		(p.useKept || p.relaxed > 0 || p.mayUse(u, w)) && (u.Rack == "" || u.Rack == x.Rack) && x.HasLabel(u.Label)
 }
 
@@ -140,7 +139,7 @@
 // units are packed onto few workers and racks, so that whole workers and racks
 // stay reclaimable.
 func (p *plan) score(u *Unit, w int, free model.Shape, tasks int) float64 {
-	s := p.freeShare(free.Minus(u.Shape), w)
+	s := p.freeShare(free.Minus(u.Shape), w) + p.coldPenalty(w)
 	if !u.Urgent || p.in.Disabled[policy.GatherUrgent] {
 		return s
 	}
--- a/internal/decide/placement/script_test.go
+++ b/internal/decide/placement/script_test.go
@@ -26,6 +26,8 @@
 		Labels   []string
 		// Closed workers are not schedulable.
 		Closed bool
+		// Evacuated workers are neither reachable nor schedulable.
+		Evacuated, Cold bool
 	}
 	Running []struct {
 		On                                  []string
@@ -82,7 +84,7 @@
 	index := make(map[string]int)
 	for i, w := range s.Workers {
 		index[w.ID] = i
-		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: shape(whole), Free: shape(whole), Reachable: true, Schedulable: !w.Closed})
+		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: shape(whole), Free: shape(whole), Reachable: !w.Evacuated, Schedulable: !w.Closed && !w.Evacuated, Evacuated: w.Evacuated, Cold: w.Cold})
 	}
 	at := func(ids []string) (all []int) {
 		for _, id := range ids {
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -54,13 +54,15 @@
 	WaitingRenewals Mechanism = "waiting_renewals"
 	// RefuseUnfit refuses jobs that fit on no worker.
 	RefuseUnfit Mechanism = "refuse_unfit"
+	// PreferWarm prefers workers that are not slow after their start.
+	PreferWarm Mechanism = "prefer_warm"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, ProgressEstimates,
-		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit,
+		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, PreferWarm,
 	}
 }
 
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -80,8 +80,10 @@
 	Service     string
 	Address     string
 	Rack        string
-	Labels      []string
-	Capacity    Shape
+	// DataCentre is empty if it is not known.
+	DataCentre string
+	Labels     []string
+	Capacity   Shape
 	// Draining workers get no new work.
 	Draining bool
 	// RegisteredAt is the reading of the worker's clock when it registered this; 0 if it is
@@ -91,6 +93,15 @@
 	Revision int64 `json:"-"`
 	// TimeLeft is the least time that a draining worker has left.
 	TimeLeft time.Duration `json:"Leaves"`
+	// ColdTime is how long the worker is still slow after its start.
+	ColdTime time.Duration
+}
+
+// Evacuation is an order of the operators that nothing may start in a data centre.
+type Evacuation struct {
+	DataCentre string
+	// Revision is the store revision of the order.
+	Revision int64
 }
 
 // Step is a set of equal tasks of a job.
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -49,6 +49,9 @@
 	// capacity counts; a StableWindow of 0 is no limit. HeartbeatInterval is the interval
 	// at which workers register.
 	StableWindow, HeartbeatInterval time.Duration
+	// EvacuationTime is the longest time from the acknowledgement of an evacuation until the
+	// last start in the data centre; 0 if data centres are not evacuated.
+	EvacuationTime time.Duration
 	// StatusRetention is the least time for which the state of a job in a
 	// terminal state stays available; 0 for no limit.
 	StatusRetention time.Duration
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -39,7 +39,10 @@
 	WorkerPrefix string
 	DecodeConfig func(b []byte) (*model.Config, error)
 	DecodeWorker func(it store.Item) (model.Worker, error)
-	Dial         func(id, address string, maySend func() bool) planner.WorkerClient
+	// EvacuationPrefix is the prefix of the keys with which operators evacuate data centres.
+	EvacuationPrefix string
+	DecodeEvacuation func(it store.Item) (model.Evacuation, error)
+	Dial             func(id, address string, maySend func() bool) planner.WorkerClient
 	// PeerTransport is the HTTP transport of calls to other VMs.
 	PeerTransport http.RoundTripper
 	// ReadinessPath and MetricsPath are the URL paths served at the readiness and
@@ -97,6 +100,7 @@
 	}
 	n.planner = &planner.Planner{
 		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
+		EvacuationPrefix: p.EvacuationPrefix, DecodeEvacuation: p.DecodeEvacuation,
 		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
 	n.health = &health{log: n.Log, meter: n.Meter, notReady: n.notReady}
--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -83,6 +83,11 @@
 		return
 	}
 	t.suspended = true
+	t.chargeStore(now)
+}
+
+// chargeStore charges the waiting units' time to the store from now on.
+func (t *term) chargeStore(now time.Time) {
 	t.causesAt = time.Time{}
 	for _, j := range t.live {
 		for _, u := range j.unitList {
--- a/internal/fleet/planner/capacity.go
+++ b/internal/fleet/planner/capacity.go
@@ -97,6 +97,7 @@
 	w.info = info
 	if before.Revision != info.Revision {
 		w.changedAfter = t.listedAt
+		w.coldUntil = boottime.Now().Add(info.ColdTime)
 	}
 	t.addSize(&info)
 	if before.ID == "" || before.Incarnation != info.Incarnation {
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -454,6 +454,7 @@
 			if m.unit != checked {
 				checked = m.unit
 				t.abortIfOversized(m.unit)
+				t.abortIfEvacuated(m.unit)
 			}
 			t.start(m)
 		}
--- a/internal/fleet/planner/explain.go
+++ b/internal/fleet/planner/explain.go
@@ -63,7 +63,7 @@
 			"same_rack", u.step().SameRack, "label", u.step().Label, "rack", u.step().Rack, "age_ms", now.Sub(u.job.accepted).Milliseconds(),
 			"cause", u.ledger.Current().String(), "cause_ms", now.Sub(u.ledger.ChangedAt()).Milliseconds(), "suspect", u.suspect,
 			"breaking", u.aborting, "claim", len(u.nominated), "avoids", len(u.avoidUntil), "waiting", len(v.waiting),
-			"workers", len(v.workers), "open_workers", v.states[workerOpen], "draining", v.states[workerDraining], "unreached", v.states[workerUnreached],
+			"workers", len(v.workers), "open_workers", v.states[workerOpen], "draining", v.states[workerDraining], "evacuated", v.states[workerEvacuated], "unreached", v.states[workerUnreached],
 			"capacity_unknown", v.states[workerCapacityUnknown], "closed", v.states[workerClosed], "slow", v.states[workerSlow])
 		for _, m := range u.members {
 			w := t.workers[m.worker]
--- a/internal/fleet/planner/export_test.go
+++ b/internal/fleet/planner/export_test.go
@@ -18,6 +18,9 @@
 // were placed.
 func StartOnAnyIncarnation(p *Planner) { p.disabled.restartCheck = true }
 
+// IgnoreEvacuations sends starts without the check whether the data centre is evacuated.
+func IgnoreEvacuations(p *Planner) { p.disabled.evacuationCheck = true }
+
 // Guards disable the guards of the run protocol, by name.
 var Guards = map[string]func(p *Planner){
 	"lock check":              func(p *Planner) { p.disabled.lockCheck = true },
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -30,16 +30,20 @@
 // start sends the start of a member whose placement is persisted.
 func (t *term) start(m *member) {
 	w := t.workers[m.worker]
-	if w == nil || w.client == nil || m.stopping || w.incarnation != m.incarnation {
+	if w == nil || w.client == nil || m.stopping || w.incarnation != m.incarnation || t.forbidsStart(m) {
 		// Nothing was sent, so nothing can start.
 		m.startSent = true
 		t.abandonStart(m, "the worker is gone or the run is no longer wanted")
 		return
 	}
+	if t.postponesStart(m) {
+		return
+	}
 	now := boottime.Now()
 	order := StartOrder{
 		Task: m.task(), Run: m.run, Specification: m.unit.job.spec.Job.Specification,
-		Deadline: t.startDeadline(w, now), Token: m.token, Checkpoint: m.unit.checkpoint, Incarnation: m.incarnation,
+		Deadline: t.confirmedDeadline(w, t.startDeadline(w, now)), Token: m.token, Checkpoint: m.unit.checkpoint, Incarnation: m.incarnation,
+		MaySend: func() bool { return t.maySendStart(m) },
 	}
 	if t.p.disabled.restartCheck {
 		order.Incarnation = 0
@@ -96,7 +100,7 @@
 func (t *term) startObsolete(m *member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return m.stopping || m.removed
+	return m.stopping || m.removed || t.forbidsStart(m)
 }
 
 // orderRetryPause is the pause between two attempts of an order.
@@ -166,13 +170,14 @@
 	if w == nil {
 		w = t.workerOf(m.worker)
 	}
+	c, reason := t.abandonCause(m, reason)
 	t.p.Log.Info("start abandoned", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "reason", reason)
 	t.dropMember(w, m)
 	if j := m.unit.job; !j.begun && !j.isPlaced() {
 		j.everPlaced = false
 	}
 	m.unit.excuseStart()
-	t.abortRun(m.unit, cause.StartFailed)
+	t.abortRun(m.unit, c)
 	t.releaseIfStopped(m.unit)
 }
 
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -32,7 +32,7 @@
 
 // plan places waiting units.
 func (t *term) plan(now time.Time) {
-	if t.warmingUp() {
+	if t.warmingUp() || t.awaitsConfirmation(now) {
 		return
 	}
 	t.recordLeaseWaits(now)
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -32,6 +32,11 @@
 	// DecodeWorker decodes such an entry.
 	WorkerPrefix string
 	DecodeWorker func(it store.Item) (model.Worker, error)
+	// EvacuationPrefix is the prefix of the keys that evacuate data centres.
+	// DecodeEvacuation decodes such a key. With an error it returns the evacuation if the
+	// key names a data centre.
+	EvacuationPrefix string
+	DecodeEvacuation func(it store.Item) (model.Evacuation, error)
 	// Dial returns a client for a worker. The client calls maySend immediately before it
 	// sends an order, also after waiting for a connection, and sends nothing if it
 	// returns false.
@@ -78,6 +83,9 @@
 	// awaitAllResults: a run that is not listed counts as lost only if the worker has listed
 	// all its results.
 	awaitAllResults bool
+	// evacuationCheck: a start is sent, and takes effect, only while it is certain that its
+	// data centre was not evacuated long before.
+	evacuationCheck bool
 }
 
 // RunTerm plans for one term. It returns when ctx is cancelled or when the term cannot
--- a/internal/fleet/planner/property_test.go
+++ b/internal/fleet/planner/property_test.go
@@ -41,9 +41,15 @@
 				fleet.randomJob(i)
 			}
 			fleet.injectRandomFault(vms)
+			if fleet.afterFault != nil {
+				fleet.afterFault()
+			}
 			time.Sleep(time.Duration(100+fleet.rng.IntN(900)) * time.Millisecond)
 		}
 		fleet.clearFaults(vms)
+		if fleet.afterFaults != nil {
+			fleet.afterFaults()
+		}
 		for _, id := range fleet.waitForEnd(90 * time.Second) {
 			violations = append(violations, "LOST: "+id+" has not ended")
 		}
--- a/internal/fleet/planner/scene_test.go
+++ b/internal/fleet/planner/scene_test.go
@@ -46,6 +46,12 @@
 	// maxLease is the longest lease of VMs that are started from now on; 0 for that of
 	// testBounds.
 	maxLease time.Duration
+	// evacuationTime is the longest time until the last start in an evacuated data centre, for
+	// VMs that are started from now on; 0 if data centres are not evacuated.
+	evacuationTime time.Duration
+	// afterFault is called after each fault of a random schedule, and afterFaults when they
+	// are over; nil for none.
+	afterFault, afterFaults func()
 	// maxValue is the largest value that the store accepts, in bytes, for VMs that are
 	// started from now on; 0 for no limit.
 	maxValue int
@@ -113,8 +119,9 @@
 	view := &world.View{Store: f.world.Store, Link: f.world.Link(vm, "store")}
 	p := &planner.Planner{
 		Store: view, Config: f.config, WorkerPrefix: world.WorkerPrefix, DecodeWorker: world.DecodeWorker,
+		EvacuationPrefix: world.EvacuationPrefix, DecodeEvacuation: world.DecodeEvacuation,
 		Dial: f.dial(vm), Log: log, Meter: m,
-		Bounds: model.Bounds{MaxLease: cmp.Or(f.maxLease, testBounds.MaxLease), GangTimeout: testBounds.GangTimeout, StatusRetention: f.statusRetention, StableWindow: world.StableWindow, HeartbeatInterval: world.HeartbeatInterval, MaxValueBytes: f.maxValue},
+		Bounds: model.Bounds{MaxLease: cmp.Or(f.maxLease, testBounds.MaxLease), GangTimeout: testBounds.GangTimeout, StatusRetention: f.statusRetention, StableWindow: world.StableWindow, HeartbeatInterval: world.HeartbeatInterval, MaxValueBytes: f.maxValue, EvacuationTime: f.evacuationTime},
 	}
 	if f.configure != nil {
 		f.configure(p)
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -199,7 +199,9 @@
 	// changedAfter is when the reading was sent before the one that first showed the
 	// registration; zero if there was none.
 	changedAfter boottime.Time
-	client       WorkerClient
+	// coldUntil is until when the worker is slow after its start, as it registered.
+	coldUntil boottime.Time
+	client    WorkerClient
 	// listed reports whether the platform lists the worker.
 	listed bool
 	// unlistedAt is when the platform stopped listing it.
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -90,6 +90,8 @@
 	room urgentRoom
 	// recentLoad is the load since it was last logged.
 	recentLoad loadStats
+	// evacuations are the evacuations of data centres.
+	evacuations evacuations
 }
 
 func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
@@ -293,6 +295,7 @@
 	defer t.cancel()
 	t.goTask("follow workers", t.pollWorkers)
 	t.goTask("follow jobs", t.watchJobs)
+	t.goTask("follow evacuations", t.followEvacuations)
 	t.goTask("follow load", t.logLoadPeriodically)
 	t.goTask("remove records", t.removeExpiredPeriodically)
 	t.goTask("remove withdrawals", t.removeWithdrawalsPeriodically)
@@ -338,6 +341,7 @@
 	if t.suspended {
 		t.suspended = false
 		t.relistWorkers()
+		t.readEvacuations()
 	}
 	t.expireLeases()
 	t.createDueUnits(now)
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -33,6 +33,10 @@
 	// Incarnation is the only incarnation of the worker that may receive the order: the
 	// next one has another clock, may be of another kind and knows no token. 0 permits any.
 	Incarnation int64
+	// MaySend reports whether the order may still be sent; nil permits it. The client calls
+	// it immediately before it sends the order, also after waiting for a connection, and
+	// returns an error of kind Unreachable if it reports false.
+	MaySend func() bool
 }
 
 // LeaseRenewal extends the leases of all runs on a worker and requests a report of them.
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/order"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/placement"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
@@ -62,6 +63,7 @@
 		state := t.workerState(w, now)
 		v.states[state]++
 		v.in.Workers = append(v.in.Workers, placement.Worker{
+			Evacuated: state == workerEvacuated, Cold: boottime.Now() < w.coldUntil,
 			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.occupied()),
 			Reachable: state >= workerClosed, Schedulable: state == workerOpen,
@@ -79,6 +81,7 @@
 
 const (
 	workerDraining workerState = iota
+	workerEvacuated
 	workerUnreached
 	workerCapacityUnknown
 	workerClosed
@@ -90,6 +93,8 @@
 	switch {
 	case w.info.Draining:
 		return workerDraining
+	case t.isEvacuated(w):
+		return workerEvacuated
 	case !w.responded || w.unresponsive:
 		return workerUnreached
 	case !t.knowsCapacity(w, 2*orderTimeout):
@@ -359,12 +364,13 @@
 }
 
 // rackFits reports whether a unit would fit in the rack of its data if nothing else ran
-// there. One that does not would wait for that rack for ever.
+// there. One that does not would wait for that rack for ever. Workers that get no new work
+// until they leave, or until an evacuation ends, do not count.
 func (v *view) rackFits(u *unit) bool {
 	s, fits := u.step(), 0
 	for _, i := range v.racks[s.Rack] {
 		w := &v.in.Workers[i]
-		if w.Service == u.job.queue.Service && w.HasLabel(s.Label) {
+		if w.Service == u.job.queue.Service && w.HasLabel(s.Label) && !w.Evacuated && !v.workers[i].info.Draining {
 			fits += placement.CountFits(s.CountedShape(), w.Capacity, s.PerWorker)
 		}
 		if fits >= u.tasks() {
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -151,7 +152,7 @@
 		state = "draining"
 	}
 	b, err := json.Marshal(registration{
-		Service: x.Service, Address: address, Zone: "z", State: state, Born: x.Incarnation, Sequence: 1, Labels: x.Labels,
+		Service: x.Service, Address: address, Zone: cmp.Or(x.DataCentre, "z"), State: state, Born: x.Incarnation, Sequence: 1, Labels: x.Labels,
 		ClockMS:  x.RegisteredAt.Milliseconds(),
 		Capacity: object{"cpu": x.Capacity.MilliCPU, "requested_memory_mb": x.Capacity.MemoryMB, "gpu": x.Capacity.Accelerators},
 	})
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -29,6 +29,9 @@
 	// ListedResults is the number of run results that a worker lists in one
 	// response; 0 means 500.
 	ListedResults int
+	// DataCentres is the number of data centres, among which the racks are distributed in
+	// turn; 0 means that the workers state none.
+	DataCentres int
 }
 
 // listedResults returns ListedResults or its default.
@@ -40,12 +43,14 @@
 }
 
 // rack returns the rack of a worker by its number.
-func (b Bounds) rack(worker int) string {
-	size := b.RackSize
-	if size == 0 {
-		size = 4
+func (b Bounds) rack(worker int) string { return fmt.Sprintf("r%d", worker/b.rackSize()) }
+
+// rackSize returns RackSize or its default.
+func (b Bounds) rackSize() int {
+	if b.RackSize == 0 {
+		return 4
 	}
-	return fmt.Sprintf("r%d", worker/size)
+	return b.RackSize
 }
 
 // run is a task on a worker.
@@ -379,6 +384,9 @@
 	if err != nil {
 		return err
 	}
+	if o.MaySend != nil && !o.MaySend() {
+		return fault.New(fault.Unreachable, "the start must not be sent any more")
+	}
 	errs := make(chan error, 1)
 	if c.Link.outlives() {
 		process = 0
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -66,6 +66,7 @@
 	// history holds what happened to each task, acknowledged or not.
 	history      map[planner.TaskID]*taskHistory
 	crashes      crashes
+	evacuations  evacuations
 	gangTimeouts int
 	violations   []string
 	// starts counts the started runs.
@@ -87,7 +88,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		x := &Worker{world: w, rate: 1 - 0.02*w.rng.Float64(), slowFactor: 1, Info: model.Worker{
-			ID: id, Service: "svc", Address: id, Rack: b.rack(i), Labels: []string{"a", b.rack(i)},
+			ID: id, Service: "svc", Address: id, Rack: b.rack(i), DataCentre: b.dataCentre(i), Labels: []string{"a", b.rack(i)},
 			Capacity: model.Shape{MilliCPU: 64000, MemoryMB: 262144, Accelerators: 8},
 		}}
 		x.start()
@@ -331,6 +332,7 @@
 		w.recordViolation("BUDGET: %v started after %d failed runs", o.Task, w.failedRuns[w.attemptKey(r)])
 	}
 	w.checkCrashBudget(o.Task)
+	w.checkEvacuation(x, o.Task)
 	x.runs[runKey{r.task, r.run}] = r
 	w.startWork(x, r, time.Duration(float64(j.Runtime)*x.slowFactor))
 }
