--- a/internal/decide/placement/evacuation.go
+++ b/internal/decide/placement/evacuation.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
+import (
+	"slices"
+
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
+)
 
 // coldWeight is the disadvantage of a cold worker: that of one free accelerator of eight, so
 // that warm workers are preferred where the packing is about the same.
@@ -26,6 +30,9 @@
 // isEvacuated reports whether a unit waits since data centres are evacuated: it fits in free
 // capacity there, or fits nowhere else even if nothing runs.
 func (p *plan) isEvacuated(u *Unit) bool {
+	if !slices.ContainsFunc(p.in.Workers, func(x Worker) bool { return x.Evacuated }) {
+		return false
+	}
 	elsewhere := p.fitsWhenEmpty(u, p.all)
 	p.useEvacuated = true
 	defer func() { p.useEvacuated = false }()
--- a/internal/fleet/planner/evacuation.go
+++ b/internal/fleet/planner/evacuation.go
@@ -28,6 +28,11 @@
 	// evacuationShare is the share of Bounds.EvacuationTime after a confirmation in which a
 	// start may take effect. The rest covers the error of the workers' clocks.
 	evacuationShare = 0.7
+	// minConfirmationLife is the least such time. With a shorter one, readings at intervals
+	// would leave no time in which units can be placed.
+	minConfirmationLife = evacuationInterval + 2*orderTimeout
+	// maxLoggedEvacuations bounds the log lines about unusable keys in one reading.
+	maxLoggedEvacuations = 8
 )
 
 // evacuations is what a term knows of the evacuations. The term's lock guards it.
@@ -62,7 +67,7 @@
 
 // confirmationLife is how long after a confirmation a start may take effect.
 func (p *Planner) confirmationLife() time.Duration {
-	return time.Duration(evacuationShare * float64(p.Bounds.EvacuationTime))
+	return max(time.Duration(evacuationShare*float64(p.Bounds.EvacuationTime)), minConfirmationLife)
 }
 
 // followEvacuations reads the evacuations at intervals until the term ends. It does not
@@ -132,12 +137,16 @@
 	e := &t.evacuations
 	var all []model.Evacuation
 	unusable := make(map[string]int64)
+	logged := 0
 	for _, it := range items {
 		x, err := t.p.DecodeEvacuation(it)
 		if err != nil {
 			unusable[it.Key] = it.Revision
 			if e.unusable[it.Key] != it.Revision {
 				t.p.Meter.Inc("evacuation_key_unusable")
+				logged++
+			}
+			if e.unusable[it.Key] != it.Revision && logged <= maxLoggedEvacuations {
 				t.p.Log.Warn("evacuation key is not as expected", "key", it.Key, "revision", it.Revision, "data_centre", x.DataCentre, "error", err)
 			}
 		}
@@ -198,10 +207,15 @@
 	if t.listedAt == 0 {
 		return
 	}
+	logged := 0
 	for dc, x := range t.evacuations.inForce {
-		if workers, _ := t.countIn(dc); workers == 0 && !x.unknown {
-			x.unknown = true
-			t.p.Meter.Inc("evacuation_key_unusable")
+		if workers, _ := t.countIn(dc); workers > 0 || x.unknown {
+			continue
+		}
+		x.unknown = true
+		logged++
+		t.p.Meter.Inc("evacuation_key_unusable")
+		if logged <= maxLoggedEvacuations {
 			t.p.Log.Warn("no worker is in the evacuated data centre", "data_centre", dc, "revision", x.revision)
 		}
 	}
