Bound the memory and connections that clients hold

Callers saw: clients that send header lines, bodies or chunks and stop short of the end made a process use several times the memory of its VM, or all of its descriptors. Ordinary callers then got no answer.

Cause: nothing counted what unfinished requests hold. net/http parses a header of 16 KiB into hundreds of KiB, and bodies had no time limit, at none of the four listeners of the platform's daemon.

Change: internal/core/intake, used by both daemons, counts bytes and header lines as they arrive, against a share for each listener of a budget that is derived from limits.memory_mb and limits.file_descriptors of the platform, and from the new setting limits.memory and the descriptor limit of the product's process. When a share is exceeded, connections with the least progress are closed first; requests whose body has arrived are never closed. Refusals are 503 with Retry-After and not_run. Bodies must arrive within the call's time limit, and may be silent for 5 s at most. idle_timeout_ms of the configuration applies to callers' connections. The runtime has a memory limit of 0.75 of the settings'. The order by account comes after progress, since clients choose the key that they name.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -189,9 +189,7 @@
 		}
 		listeners[i] = l
 	}
-	go func() { failed <- jsonhttp.Serve(d.callers, listeners[0]) }()
-	go func() { failed <- jsonhttp.Serve(d.operators, listeners[1]) }()
-	go func() { failed <- d.peers.Serve(listeners[2]) }()
+	d.serve(listeners, failed)
 	return nil
 }
 
--- a/internal/core/jsonhttp/server.go
+++ b/internal/core/jsonhttp/server.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 )
 
@@ -76,6 +77,18 @@
 	return e
 }
 
+// ServeShare serves e on l until e is shut down, within a share of what the clients of the
+// process may hold.
+func ServeShare(e *echo.Echo, l net.Listener, s *intake.Share) error {
+	e.Server.Handler = e
+	s.Configure(e.Server)
+	err := e.Server.Serve(s.Listener(l))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
 // Serve serves e on l until e is shut down.
 func Serve(e *echo.Echo, l net.Listener) error {
 	e.Server.Handler = e
@@ -108,10 +121,18 @@
 	m.Inc(row.Counter)
 	b, _ := json.Marshal(body)
 	w.Header().Set("Content-Type", "application/json")
+	setRetryAfter(w, row)
 	w.WriteHeader(row.HTTPStatus)
 	_, _ = w.Write(b)
 }
 
+// setRetryAfter says when a caller may repeat a request that found no capacity.
+func setRetryAfter(w http.ResponseWriter, row fault.Row) {
+	if row.Kind == fault.Overloaded {
+		w.Header().Set("Retry-After", "1")
+	}
+}
+
 // headerReadFactor is the ratio of the header size that net/http accepts to the
 // limit. It lets the server refuse headers over the limit with a JSON answer.
 const headerReadFactor = 2
@@ -179,6 +200,10 @@
 		if errors.As(err, &tooLarge) {
 			return fault.WithField(fault.BodyTooLarge, "body", "is over %d bytes", tooLarge.Limit)
 		}
+		var ended *fault.Error
+		if errors.As(err, &ended) {
+			return ended
+		}
 		return fault.WithField(fault.BadRequest, "body", "cannot be read: %v", err)
 	}
 	return DecodeBytes(b, v)
@@ -257,6 +282,7 @@
 	body := NewErrorBody(fromEcho(err))
 	row := fault.Lookup(body.Kind)
 	m.Inc(row.Counter)
+	setRetryAfter(c.Response(), row)
 	_ = c.JSON(row.HTTPStatus, body)
 }
 
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -29,6 +29,7 @@
 	c.positive("limits.max_body_bytes", s.Limits.MaxBodyBytes)
 	c.positive("limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes))
 	c.positive("limits.max_concurrent", int64(s.Limits.MaxConcurrent))
+	c.positive("limits.memory", s.Limits.Memory)
 	c.duration("limits.read_timeout", s.Limits.ReadTimeout)
 	c.duration("limits.idle_timeout", s.Limits.IdleTimeout)
 	c.duration("limits.drain_timeout", s.Limits.DrainTimeout)
--- a/internal/core/settings/names.go
+++ b/internal/core/settings/names.go
@@ -38,6 +38,7 @@
 	{"limits.max_body_bytes", func(s *Settings) any { return &s.Limits.MaxBodyBytes }},
 	{"limits.max_header_bytes", func(s *Settings) any { return &s.Limits.MaxHeaderBytes }},
 	{"limits.max_concurrent", func(s *Settings) any { return &s.Limits.MaxConcurrent }},
+	{"limits.memory", func(s *Settings) any { return &s.Limits.Memory }},
 	{"limits.read_timeout", func(s *Settings) any { return &s.Limits.ReadTimeout }},
 	{"limits.idle_timeout", func(s *Settings) any { return &s.Limits.IdleTimeout }},
 	{"limits.drain_timeout", func(s *Settings) any { return &s.Limits.DrainTimeout }},
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -88,6 +88,8 @@
 	ReadTimeout Duration `toml:"read_timeout"`
 	// IdleTimeout bounds the time that a connection waits for a request.
 	IdleTimeout Duration `toml:"idle_timeout"`
+	// Memory is the memory of the process in bytes, of which clients may hold a part.
+	Memory int64 `toml:"memory"`
 	// DrainTimeout bounds the duration of a planned stop.
 	DrainTimeout Duration `toml:"drain_timeout"`
 }
@@ -116,6 +118,7 @@
 	DefaultReadTimeout    = 10 * time.Second
 	DefaultIdleTimeout    = 120 * time.Second
 	DefaultDrainTimeout   = 120 * time.Second
+	DefaultMemory         = 2 << 30
 )
 
 // Problem is an error in a settings file.
@@ -148,10 +151,10 @@
 		Log: Log{Level: "info", Format: "text"},
 		Limits: Limits{
 			MaxBodyBytes: DefaultMaxBodyBytes, MaxHeaderBytes: DefaultMaxHeaderBytes,
-			MaxConcurrent: DefaultMaxConcurrent,
-			ReadTimeout:   Duration{DefaultReadTimeout},
-			IdleTimeout:   Duration{DefaultIdleTimeout},
-			DrainTimeout:  Duration{DefaultDrainTimeout},
+			MaxConcurrent: DefaultMaxConcurrent, Memory: DefaultMemory,
+			ReadTimeout:  Duration{DefaultReadTimeout},
+			IdleTimeout:  Duration{DefaultIdleTimeout},
+			DrainTimeout: Duration{DefaultDrainTimeout},
 		},
 	}
 }
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -30,6 +30,8 @@
 	Cores float64
 	// MaxFileDescriptors bounds the file descriptors of the process; 0 for no bound.
 	MaxFileDescriptors int
+	// MemoryBytes is the memory of the VM; 0 for no bound.
+	MemoryBytes int64
 	// Disabled are the mechanisms that are switched off for an experiment.
 	Disabled policy.Disabled
 }
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/duty"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/entry"
@@ -47,6 +48,10 @@
 	ReadinessPath, MetricsPath string
 	// RegisterCallerAPI adds the API for callers to an HTTP server.
 	RegisterCallerAPI func(e *echo.Echo, js *entry.JobService, n *Node)
+	// CallerAccount returns the API key of a call, empty for none, and CallTimeout its
+	// time limit.
+	CallerAccount func(r *http.Request) string
+	CallTimeout   func(r *http.Request) time.Duration
 }
 
 // Node is one daemon on the platform. Its exported fields are set before Init.
@@ -232,10 +237,6 @@
 	maxHeader = 16 << 10
 )
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-}
-
 // listen opens the listeners for callers, peers, readiness and metrics.
 func (n *Node) listen() ([]*http.Server, error) {
 	n.callerAPI = echo.New()
@@ -247,24 +248,27 @@
 	ready.HandleFunc(n.Platform.ReadinessPath, n.serveReadiness)
 	metrics := http.NewServeMux()
 	metrics.HandleFunc(n.Platform.MetricsPath, n.serveMetrics)
+	budget := n.newBudget()
+	budget.SetRuntimeLimit()
 	var servers []*http.Server
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		share   *intake.Share
 	}{
-		{n.Settings.CallerAddress, n.countCalls(n.callerAPI)},
-		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers},
-		{n.Settings.ReadinessAddress, ready},
-		{n.Settings.MetricsAddress, metrics},
+		{n.Settings.CallerAddress, n.countCalls(n.callerAPI), n.callers(budget)},
+		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers, budget.Share("peers", peerShare)},
+		{n.Settings.ReadinessAddress, ready, budget.Share("readiness", probeShare)},
+		{n.Settings.MetricsAddress, metrics, budget.Share("metrics", metricsShare)},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", l.address)
 		}
-		s := newServer(l.handler)
+		s := newServer(l.handler, l.share)
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(listener); err != nil && !n.stopping.Load() {
+			if err := s.Serve(l.share.Listener(listener)); err != nil && !n.stopping.Load() {
 				n.Log.Error("listener failed", "address", l.address, "error", err)
 			}
 		}()
