Intake: close idle connections only for others

The share closed callers' connections after idle_timeout_ms of the configuration (15 s), 60 s before.

--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -78,9 +78,6 @@
 	Account func(r *http.Request) string
 	// BodyTime returns the time in which the body of a request must arrive.
 	BodyTime func(r *http.Request) time.Duration
-	// IdleTime returns how long a connection may wait for a request; 0 for no limit
-	// besides that of the server.
-	IdleTime func() time.Duration
 	// ReceiveBuffer is the size of the kernel's receive buffer of a connection in bytes;
 	// 0 for the kernel's default. Unread bytes count to the memory of a VM.
 	ReceiveBuffer int
--- a/internal/core/intake/conn.go
+++ b/internal/core/intake/conn.go
@@ -34,7 +34,6 @@
 	causeConnections = "connections"
 	causeLate        = "late_body"
 	causeSilent      = "silent_body"
-	causeIdle        = "idle"
 	causeUnread      = "unread_answer"
 )
 
@@ -47,7 +46,6 @@
 var (
 	errOverloaded = readError(fault.Overloaded, "the process has no memory or connections left for the request")
 	errLate       = readError(fault.Deadline, "the body did not arrive in time")
-	errIdle       = readError(fault.Overloaded, "the connection was idle")
 
 	past = time.Unix(1, 0)
 	seed = maphash.MakeSeed()
--- a/internal/core/intake/server.go
+++ b/internal/core/intake/server.go
@@ -126,13 +126,8 @@
 	}
 }
 
-// closeLate closes connections whose body is late, that are idle for too long or whose
-// client reads nothing.
+// closeLate closes connections whose body is late or whose client reads nothing.
 func (s *Share) closeLate(now time.Time) {
-	var idleTime time.Duration
-	if s.IdleTime != nil {
-		idleTime = s.IdleTime()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -146,8 +141,6 @@
 			s.abort(c, causeLate, errLate)
 		case c.state == body && c.reading && now.Sub(c.lastByte) > silentTime:
 			s.abort(c, causeSilent, errLate)
-		case c.state == idle && idleTime > 0 && now.Sub(c.since) > idleTime:
-			s.abort(c, causeIdle, errIdle)
 		}
 	}
 }
@@ -165,9 +158,7 @@
 	s.meter.Set("intake_held_bytes_"+s.Name, held)
 	for cause, n := range closed {
 		s.meter.Add("intake_closed_"+cause, n)
-		if cause != causeIdle {
-			s.log.Warn("connections closed", "listener", s.Name, "cause", cause, "closed", n, "connections", conns,
-				"max_connections", s.maxConns, "held_bytes", held, "max_held_bytes", s.maxHeld)
-		}
+		s.log.Warn("connections closed", "listener", s.Name, "cause", cause, "closed", n, "connections", conns,
+			"max_connections", s.maxConns, "held_bytes", held, "max_held_bytes", s.maxHeld)
 	}
 }
--- a/internal/fleet/node/intake.go
+++ b/internal/fleet/node/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
 )
@@ -42,12 +41,6 @@
 	s := b.Share("callers", callerShare)
 	s.Account, s.BodyTime = n.Platform.CallerAccount, n.Platform.CallTimeout
 	s.ReceiveBuffer = callerBuffer
-	s.IdleTime = func() time.Duration {
-		if c := n.follower.Current(); c != nil {
-			return c.IdleTimeout
-		}
-		return 0
-	}
 	return s
 }
 
