Keep the time by cause over a change of the planner, and log the measured objective

The line job ended has critical_path_ms, measured_objective_ms, path_error_ms and unmeasured_steps. The run record has the distinct times by cause of the units that are not done, at most 32, as numbers of causes and milliseconds since the acceptance, so the gap until the next term needs no common clock. No write is added; if the record does not fit in a value, the times are left out. Older records decode. A run that was taken over and is then lost is charged to the cause of its loss from the change on.

--- a/internal/decide/cause/cause.go
+++ b/internal/decide/cause/cause.go
@@ -171,3 +171,10 @@
 
 // Spent returns the time up to the last change.
 func (l *Ledger) Spent() Spent { return l.spent }
+
+// SpentAt returns the time up to now; of a closed account, up to its end.
+func (l *Ledger) SpentAt(now time.Time) Spent {
+	x := *l
+	x.Switch(x.current, now)
+	return x.spent
+}
--- a/internal/decide/cause/cause_test.go
+++ b/internal/decide/cause/cause_test.go
@@ -95,3 +95,24 @@
 		seen[c.String()] = true
 	}
 }
+
+// TestStoredNumbers guards against a cause that a record can't hold or that two versions
+// number differently.
+func TestStoredNumbers(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[int64]bool)
+	for _, c := range cause.All() {
+		var s cause.Spent
+		s[c] = time.Second
+		pairs := s.Encode()
+		is.Equal(len(pairs), 2) // c has a number
+		is.True(!seen[pairs[0]])
+		seen[pairs[0]] = true
+		is.Equal(cause.Decode(append(pairs, 9999, 5)), s)
+	}
+	is.Equal(cause.Decode([]int64{7, 1500, 16, -3, 16}), cause.Decode([]int64{7, 1500}))
+	s := cause.Decode([]int64{7, 3000, 16, 1000})
+	s.Fill(cause.EarlierTerm, 2*time.Second)
+	is.Equal(s.Total(), 2*time.Second) // a clock that jumped does not break the sum
+	is.Equal(s[cause.NoCapacity], 1500*time.Millisecond)
+}
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -52,6 +52,11 @@
 	// StatusRetention is the least time for which the state of a job in a
 	// terminal state stays available; 0 for no limit.
 	StatusRetention time.Duration
+	// RemoteFactor is how many times as long a task takes away from its data, or a gang on
+	// several racks that asks for one; 0 if it is not given.
+	RemoteFactor float64
+	// RestoreTime is how long a task takes to resume from a checkpoint.
+	RestoreTime time.Duration
 	// MaxValueBytes is the largest value that the platform's store accepts, in bytes; 0 for
 	// no limit.
 	MaxValueBytes int
--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -117,6 +117,7 @@
 		if m.startAckedAt == 0 {
 			return
 		}
+		u.startedAt = max(u.startedAt, m.startAckedAt)
 	}
 	u.ledger.Switch(cause.Run, now)
 }
@@ -182,26 +183,40 @@
 }
 
 // spent returns the time that a job took by cause, which adds up to the time from its
-// acceptance until now. Besides the time before the term took it, that is the time of the
-// chain of units that ended last, each of which waited for the one before it.
+// acceptance until now: that of the chain of units that ended last.
 func (j *job) spent(now time.Time) cause.Spent {
-	spent := j.before
-	begin, end := j.finishedAt, j.finishedAt
-	if u := j.closingUnit(); u != nil {
+	end := j.finishedAt
+	u := j.closingUnit()
+	spent := j.chainSpent(u, end)
+	if u != nil {
 		// Other units had not begun to wait when the job ended.
 		spent[cause.Plan] += end.Sub(u.ledger.ChangedAt())
 	}
-	for u := j.closingUnit(); u != nil && !u.ledger.Begun().IsZero(); u = u.lastDependency() {
-		parts := u.ledger.Spent()
+	spent[cause.Record] += now.Sub(end)
+	return spent
+}
+
+// chainSpent returns the time by cause from the job's acceptance until a time, or the end
+// of a unit's account: that of the chain of units that ends with the unit, each of which
+// waited for the one before it. u may be nil.
+func (j *job) chainSpent(u *unit, until time.Time) cause.Spent {
+	var spent cause.Spent
+	begin, before := until, &j.before
+	for ; u != nil && !u.ledger.Begun().IsZero(); u = u.lastDependency() {
+		parts := u.ledger.SpentAt(until)
 		spent.Add(&parts)
 		begin = u.ledger.Begun()
+		if u.spentBefore != nil {
+			before = u.spentBefore
+			break
+		}
 	}
 	rest := cause.Plan
 	if j.spec.Job.Occurrences > 0 {
 		rest = cause.NotDue
 	}
+	spent.Add(before)
 	spent[rest] += begin.Sub(j.takenAt)
-	spent[cause.Record] += now.Sub(end)
 	return spent
 }
 
@@ -240,6 +255,7 @@
 		"job", j.id, "state", j.state, "account", j.spec.Account, "queue", j.queue.Name, "priority", j.queue.Priority, "guaranteed", j.guaranteed,
 		"age_ms", now.Sub(j.accepted).Round(time.Millisecond).Milliseconds(), "objective_ms", j.objective().Milliseconds(),
 	}
+	attrs = append(attrs, t.measuredAttrs(j)...)
 	// The parts are rounded such that they add up to the age.
 	total, logged := time.Duration(0), time.Duration(0)
 	for _, c := range cause.All() {
--- a/internal/fleet/planner/account_test.go
+++ b/internal/fleet/planner/account_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,6 +37,9 @@
 // sum of its parts. Both are rounded to milliseconds.
 const maxAccountError = 2
 
+// noParts are the attributes in milliseconds that are not a part of the age.
+var noParts = []string{"age_ms", "objective_ms", "critical_path_ms", "measured_objective_ms", "path_error_ms"}
+
 func (c *accountChecker) check(r slog.Record) {
 	var job string
 	parts := make(map[string]int64)
@@ -50,7 +54,7 @@
 	})
 	sum := int64(0)
 	for key, ms := range parts {
-		if key == "age_ms" || key == "objective_ms" {
+		if slices.Contains(noParts, key) {
 			continue
 		}
 		sum += ms
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -212,11 +212,13 @@
 	unitBytes   = 60
 	memberBytes = 90
 	lossBytes   = 140
+	// historyBytes is about the size of a time by cause.
+	historyBytes = 50
 )
 
 // recordBytes returns about the size of the job's encoded run record.
 func (j *job) recordBytes() int {
-	n := unitBytes
+	n, histories := unitBytes, 0
 	for _, u := range j.unitList {
 		if u.run == 0 || j.ended() && len(u.members) == 0 {
 			continue
@@ -228,6 +230,10 @@
 		if u.done {
 			continue
 		}
+		if histories < maxHistories && !j.ended() {
+			histories++
+			n += historyBytes
+		}
 		for i := range u.losses {
 			l := &u.losses[i]
 			n += lossBytes + len(l.Worker) + len(l.Address) + len(l.Rack)
@@ -237,13 +243,22 @@
 }
 
 // encodeRecord returns the encoded run record of a job, compressed if it has more than limit
-// bytes; 0 for no limit.
+// bytes; 0 for no limit. It leaves out the time by cause if it does not fit otherwise.
 func (j *job) encodeRecord(limit int) []byte {
+	histories := newHistories(j, time.Now())
+	if b := j.encodeRecordWith(histories, limit); limit == 0 || len(b) <= limit {
+		return b
+	}
+	return j.encodeRecordWith(nil, limit)
+}
+
+func (j *job) encodeRecordWith(h *histories, limit int) []byte {
 	r := RunRecord{State: j.state, EndedMS: j.endedMS, EverPlaced: j.everPlaced}
 	for _, u := range j.unitList {
 		rec := UnitRecord{
 			Occurrence: u.key.occurrence, Step: u.key.step, Index: u.key.index,
 			Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Checkpoint: u.checkpoint, Done: u.done,
+			Spent: h.add(u),
 		}
 		for _, m := range u.members {
 			rec.Placements = append(rec.Placements, PlacementRecord{Index: m.index, Worker: m.worker, Incarnation: m.incarnation, Token: m.token, Address: m.address})
@@ -251,6 +266,7 @@
 		if !u.done {
 			rec.Losses, rec.Isolated = u.losses, u.isolated
 			rec.Unstarted, rec.ReportedRun = u.unstarted, u.reportedRun
+			rec.FailedWork = u.failedWork.Milliseconds()
 		}
 		// A new term reads the records of all jobs, so the record of an ended job
 		// contains only the units that may still run.
@@ -258,6 +274,7 @@
 			r.Units = append(r.Units, rec)
 		}
 	}
+	r.Spent, r.Work = h.encoded(), j.encodedWork()
 	b, err := json.Marshal(r)
 	if err != nil {
 		// The record contains only numbers, booleans and strings, which can always be
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -304,6 +304,7 @@
 		m.checkpoint = r.Checkpoint
 	}
 	m.percent = r.Percent
+	m.readings.Observe(r.Percent, w.clock)
 	t.endIsolation(m)
 	t.trackProgress(w, m)
 	if m.stopping || m.unit.aborting || m.unit.job.ended() {
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -149,6 +149,7 @@
 	t.p.Meter.Inc("end_" + string(r.Kind))
 	t.p.Log.Debug("run result applied", "job", u.job.id, "task", r.Task, "run", r.Run, "worker", w.id, "how", r.Kind, "number", r.Number)
 	u.excuseRun()
+	t.measureResult(w, m, r)
 	switch r.Kind {
 	case ResultDone:
 		t.applyDone(w, u)
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -79,6 +79,12 @@
 	// EverPlaced reports whether any task of the job has been placed.
 	EverPlaced bool         `json:"begun,omitempty"`
 	Units      []UnitRecord `json:"units,omitempty"`
+	// Spent has the distinct times by cause of the units that are not done, each from the
+	// job's acceptance until this record; the first is that of the job. See cause.Decode.
+	Spent [][]int64 `json:"spent,omitempty"`
+	// Work is the longest measured work of a unit of each step, in milliseconds; 0 if it is
+	// not known.
+	Work []int64 `json:"work,omitempty"`
 }
 
 // UnitRecord is the record of a schedulable unit: a gang, or one task of a step that is
@@ -95,6 +101,11 @@
 	FailedRun  int64  `json:"failed_run,omitempty"`
 	Checkpoint string `json:"saved,omitempty"`
 	Done       bool   `json:"done,omitempty"`
+	// Spent is the index of the unit's time by cause in RunRecord.Spent; 0 for that of the
+	// job.
+	Spent int `json:"spent,omitempty"`
+	// FailedWork is the work of runs that failed by the job's own fault, in milliseconds.
+	FailedWork int64 `json:"failed_work,omitempty"`
 	// Losses are the losses of the tasks of a unit that is not done.
 	Losses []LossRecord `json:"losses,omitempty"`
 	// Isolated reports whether the last run has its workers to itself.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/measure"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/progress"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
@@ -61,6 +62,8 @@
 	logged     bool
 	// lostWork is the work of lost runs by cause, in core-seconds.
 	lostWork map[cause.Cause]float64
+	// work is the longest measured work of a unit of each step; see lateness.go.
+	work []measure.Work
 	// guaranteed reports whether the job is covered by its account's guarantee.
 	guaranteed bool
 	// bestRates is the highest rate of progress of the tasks of each step, in percent per
@@ -104,6 +107,14 @@
 	// ledger accounts for the time from readyAt until doneAt.
 	ledger cause.Ledger
 	doneAt time.Time
+	// spentBefore is the time by cause until the ledger began, if an earlier term recorded it for
+	// this unit; otherwise nil.
+	spentBefore *cause.Spent
+	// startedAt is when the last member of the run has started; 0 if it is not known.
+	// savedWork is the work that the run resumed from, and failedWork that of the runs that
+	// failed by the job's own fault.
+	startedAt             boottime.Time
+	savedWork, failedWork time.Duration
 	// avoidUntil is the time until which the unit avoids a worker on which it failed.
 	avoidUntil map[string]time.Time
 	// moves counts how often the unit was moved off a slow worker.
@@ -178,6 +189,7 @@
 	checkpoint string
 	percent    float64
 	tracker    progress.Tracker
+	readings   measure.Run
 	removed    bool
 }
 
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -178,6 +178,7 @@
 	for _, x := range r.Units {
 		t.restoreUnit(j, x)
 	}
+	j.restoreHistory(r)
 }
 
 func (t *term) restoreUnit(j *job, rec UnitRecord) {
@@ -207,7 +208,9 @@
 	}
 	u.placedAt = time.Now()
 	if len(u.members) > 0 {
-		u.ledger.Begin(cause.Run, t.beganAt)
+		u.ledger.Begin(cause.Run, j.takenAt)
+		u.ledger.BeginRun(j.takenAt)
+		u.ledger.Switch(cause.Run, j.takenAt)
 		u.readyAt = t.beganAt
 	}
 }
--- a/internal/standin/world/history.go
+++ b/internal/standin/world/history.go
@@ -123,3 +123,10 @@
 	}
 	return places
 }
+
+// SetFails sets whether each run of a job fails.
+func (w *World) SetFails(id string, fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[id].Fails = fails
+}
