Serve the account that holds the least capacity first while accounts compete

An account whose burst comes first had the least slack in all its jobs, so the jobs of the other accounts were late with it.

Among waiting units of one priority and equal timeliness, the next one is of the account that holds the least of the capacity in use, with what was served before it in the pass. It applies only while units of several accounts of a priority wait for capacity. Guaranteed units keep their order. Switch: account_order.

--- a/internal/decide/order/order.go
+++ b/internal/decide/order/order.go
@@ -27,6 +27,12 @@
 	// CriticalPath is the remaining work on the job's critical path, in
 	// seconds.
 	CriticalPath float64 `toml:"chain"`
+	// Account is the account of the unit. Held is the capacity that the account's running
+	// units occupy and Demand what this one needs, in the same measure.
+	Account      string
+	Held, Demand float64
+	// Blocked units wait for capacity.
+	Blocked bool
 }
 
 // The timeliness of a unit: its job can meet its objective, can only complete
@@ -72,5 +78,8 @@
 		indices[i] = i
 	}
 	sort.SliceStable(indices, func(i, j int) bool { return servedBefore(&units[indices[i]], &units[indices[j]], disabled) })
+	if !disabled[policy.AccountOrder] {
+		shareAccounts(units, indices, disabled)
+	}
 	return indices
 }
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -35,6 +35,9 @@
 	OrderTimeliness Mechanism = "order_timeliness"
 	// OrderSlack serves units of equal priority by their slack, instead of their age.
 	OrderSlack Mechanism = "order_slack"
+	// AccountOrder serves the account that holds the least capacity first while units of
+	// several accounts of a priority wait for capacity.
+	AccountOrder Mechanism = "account_order"
 	// ProgressEstimates estimates the end of a run from its progress, instead of from the
 	// caller's estimate alone.
 	ProgressEstimates Mechanism = "progress_estimates"
@@ -59,7 +62,7 @@
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, ProgressEstimates,
+		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, AccountOrder, ProgressEstimates,
 		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit,
 	}
 }
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -236,6 +236,7 @@
 		ranks[i] = steps[i].units[0].orderInput(now)
 		n += len(steps[i].units)
 	}
+	v.setAccounts(ranks, steps)
 	v.waiting, v.in.Waiting = make([]*unit, 0, n), make([]placement.Unit, 0, n)
 	for _, k := range order.Sort(ranks, t.p.Disabled) {
 		for _, u := range steps[k].units {
