--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -81,6 +81,8 @@
 	Guaranteed bool
 	// DiscardedWork is the work that a stop discards, in core-seconds.
 	DiscardedWork float64
+	// Stops is how often the unit was stopped for an urgent one.
+	Stops int
 	// Stopping units release their capacity soon.
 	Stopping bool
 	// NotPreemptible units can't be stopped.
--- a/internal/decide/placement/preempt.go
+++ b/internal/decide/placement/preempt.go
@@ -58,7 +58,7 @@
 // preemptible reports whether a running unit yields to an urgent one.
 func (p *plan) preemptible(r int, u *Unit) bool {
 	x := &p.in.Running[r]
-	if x.Stopping || x.NotPreemptible || p.stopped[r] || x.Guaranteed {
+	if x.Stopping || x.NotPreemptible || p.stopped[r] || x.Guaranteed || p.exceedsStops(x, u) {
 		return false
 	}
 	return !x.Urgent || u.Guaranteed
@@ -92,7 +92,7 @@
 		for _, r := range p.candidates[best].victims {
 			c.isVictim[r] = true
 			c.victims = append(c.victims, r)
-			c.discardedWork += p.in.Running[r].DiscardedWork
+			c.discardedWork += p.stopCost(r)
 			for _, w := range p.in.Running[r].Workers {
 				p.candidates[w].remaining = p.candidates[w].remaining.Plus(p.in.Running[r].Shape)
 				p.candidates[w].scored = false
@@ -137,7 +137,7 @@
 		return nil, 0, false
 	}
 	sort.SliceStable(preemptibleUnits, func(a, b int) bool {
-		return p.in.Running[preemptibleUnits[a]].DiscardedWork < p.in.Running[preemptibleUnits[b]].DiscardedWork
+		return p.stopCost(preemptibleUnits[a]) < p.stopCost(preemptibleUnits[b])
 	})
 	for _, r := range preemptibleUnits {
 		if u.Shape.Fits(remaining) {
@@ -158,7 +158,7 @@
 			continue
 		}
 		needed = append(needed, r)
-		discarded += p.in.Running[r].DiscardedWork
+		discarded += p.stopCost(r)
 	}
 	return needed, discarded, true
 }
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -19,6 +19,9 @@
 	// LeastLoss stops the units whose stop discards the least work, instead of those
 	// that are listed first.
 	LeastLoss Mechanism = "least_loss"
+	// StopLimit bounds how often a unit is stopped for urgent ones that are not guaranteed,
+	// and stops units that were stopped often last.
+	StopLimit Mechanism = "stop_limit"
 	// Nomination keeps the workers that are being cleared for an urgent unit.
 	Nomination Mechanism = "nomination"
 	// Reservations reserve workers for blocked gangs.
@@ -62,7 +65,7 @@
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, AccountOrder, ProgressEstimates,
+		Preemption, LeastLoss, StopLimit, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, AccountOrder, ProgressEstimates,
 		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit,
 	}
 }
--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -266,7 +266,7 @@
 		if !u.done {
 			rec.Losses, rec.Isolated = u.losses, u.isolated
 			rec.Unstarted, rec.ReportedRun = u.unstarted, u.reportedRun
-			rec.FailedWork = u.failedWork.Milliseconds()
+			rec.Stops, rec.FailedWork = u.stops, u.failedWork.Milliseconds()
 		}
 		// A new term reads the records of all jobs, so the record of an ended job
 		// contains only the units that may still run.
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -107,6 +107,7 @@
 // preempt stops a unit to free its resources.
 func (t *term) preempt(u *unit) {
 	t.p.Meter.Inc("preempted")
+	u.stops++
 	t.abortRun(u, cause.Preempted)
 }
 
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -104,6 +104,8 @@
 	// Spent is the index of the unit's time by cause in RunRecord.Spent; 0 for that of the
 	// job.
 	Spent int `json:"spent,omitempty"`
+	// Stops is how often a unit that is not done was stopped for an urgent one.
+	Stops int `json:"stops,omitempty"`
 	// FailedWork is the work of runs that failed by the job's own fault, in milliseconds.
 	FailedWork int64 `json:"failed_work,omitempty"`
 	// Losses are the losses of the tasks of a unit that is not done.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -117,6 +117,8 @@
 	savedWork, failedWork time.Duration
 	// avoidUntil is the time until which the unit avoids a worker on which it failed.
 	avoidUntil map[string]time.Time
+	// stops counts how often the unit was stopped for an urgent one.
+	stops int
 	// moves counts how often the unit was moved off a slow worker.
 	moves int
 	// losses are the losses of the unit's tasks. suspect reports whether one of the tasks is
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -191,6 +191,7 @@
 	if u == nil {
 		return
 	}
+	u.stops = max(rec.Stops, 0)
 	u.run, u.failures, u.failedRun, u.checkpoint, u.done = rec.Run, rec.Failures, rec.FailedRun, rec.Checkpoint, rec.Done
 	for _, place := range rec.Placements {
 		u.members = append(u.members, &member{
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -183,7 +183,7 @@
 	r := placement.Running{
 		Shape: s.CountedShape(), Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
 		Stopping:       u.done || u.aborting || u.job.ended(),
-		NotPreemptible: u.reportedRun > 0,
+		NotPreemptible: u.reportedRun > 0, Stops: u.stops,
 	}
 	elapsed := now.Sub(u.placedAt).Seconds()
 	r.EndsIn = u.expectedRemaining(elapsed, t.p.Disabled[policy.ProgressEstimates])
--- a/internal/standin/world/history.go
+++ b/internal/standin/world/history.go
@@ -14,13 +14,15 @@
 	done       bool
 	// failedRuns holds the runs that failed.
 	failedRuns map[int64]bool
+	// stoppedRuns holds the runs that were stopped.
+	stoppedRuns map[int64]bool
 }
 
 // historyFor returns the history of a task. The caller must hold w.mu.
 func (w *World) historyFor(t planner.TaskID) *taskHistory {
 	h := w.history[t]
 	if h == nil {
-		h = &taskHistory{failedRuns: make(map[int64]bool)}
+		h = &taskHistory{failedRuns: make(map[int64]bool), stoppedRuns: make(map[int64]bool)}
 		w.history[t] = h
 	}
 	return h
@@ -35,7 +37,9 @@
 		w.historyFor(w.attemptKey(r)).failedRuns[r.run] = true
 	case planner.ResultGangTimeout:
 		w.gangTimeouts++
-	case planner.ResultStopped, planner.ResultExpired, planner.ResultGangFailed:
+	case planner.ResultStopped:
+		w.historyFor(w.attemptKey(r)).stoppedRuns[r.run] = true
+	case planner.ResultExpired, planner.ResultGangFailed:
 	}
 }
 
@@ -130,3 +134,16 @@
 	defer w.mu.Unlock()
 	w.jobs[id].Fails = fails
 }
+
+// StoppedRuns returns the highest number of stopped runs of any task or gang of a job.
+func (w *World) StoppedRuns(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 0
+	for t, h := range w.history {
+		if t.Job == id {
+			most = max(most, len(h.stoppedRuns))
+		}
+	}
+	return most
+}
