--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -107,6 +107,7 @@
 // preempt stops a unit to free its resources.
 func (t *term) preempt(u *unit) {
 	t.p.Meter.Inc("preempted")
+	u.stops++
 	t.abortRun(u, cause.Preempted)
 }
 
@@ -118,6 +119,7 @@
 	u.nominated, u.placedAt = nil, now
 	u.isolated, u.isolateUntil, u.shareAfter = v.isolated[u], time.Time{}, time.Time{}
 	u.ledger.BeginRun(now)
+	u.beginMeasuring()
 	u.job.everPlaced = true
 	for i, k := range a.Workers {
 		w := v.workers[k]
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -180,6 +180,7 @@
 	for _, x := range r.Units {
 		t.restoreUnit(j, x)
 	}
+	j.restoreHistory(r)
 }
 
 func (t *term) restoreUnit(j *job, rec UnitRecord) {
@@ -192,6 +193,7 @@
 	if u == nil {
 		return
 	}
+	u.stops = max(rec.Stops, 0)
 	u.run, u.failures, u.failedRun, u.checkpoint, u.done = rec.Run, rec.Failures, rec.FailedRun, rec.Checkpoint, rec.Done
 	for _, place := range rec.Placements {
 		u.members = append(u.members, &member{
@@ -209,7 +211,9 @@
 	}
 	u.placedAt = time.Now()
 	if len(u.members) > 0 {
-		u.ledger.Begin(cause.Run, t.beganAt)
+		u.ledger.Begin(cause.Run, j.takenAt)
+		u.ledger.BeginRun(j.takenAt)
+		u.ledger.Switch(cause.Run, j.takenAt)
 		u.readyAt = t.beganAt
 	}
 }
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -188,7 +188,7 @@
 	r := placement.Running{
 		Shape: s.CountedShape(), Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
 		Stopping:       u.done || u.aborting || u.job.ended(),
-		NotPreemptible: u.reportedRun > 0,
+		NotPreemptible: u.reportedRun > 0, Stops: u.stops,
 	}
 	elapsed := now.Sub(u.placedAt).Seconds()
 	r.EndsIn = u.expectedRemaining(elapsed, t.p.Disabled[policy.ProgressEstimates])
@@ -241,6 +241,7 @@
 		ranks[i] = steps[i].units[0].orderInput(now)
 		n += len(steps[i].units)
 	}
+	v.setAccounts(ranks, steps)
 	v.waiting, v.in.Waiting = make([]*unit, 0, n), make([]placement.Unit, 0, n)
 	for _, k := range order.Sort(ranks, t.p.Disabled) {
 		for _, u := range steps[k].units {
