Learn which kinds of tasks slow each other, and place them apart

Cause: placement packs by capacity alone. Change: internal/decide/interference learns the slow-down of a kind by another from runs before and after a neighbour came or went, and from tasks of one step on several workers. placement.Input.Interference adds a penalty to the score where a unit would start beside such a kind and fits elsewhere. Nothing is computed while it is nil. Switch: interference.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -58,6 +58,8 @@
 	Overdue bool
 	// LongRunning units run until their job is cancelled.
 	LongRunning bool
+	// Kind is the unit's number in Interference; 0 for none.
+	Kind int
 	// Urgent units may pre-empt running units that are neither urgent nor
 	// guaranteed.
 	Urgent bool
@@ -105,6 +107,8 @@
 	// Explain has the indices of the waiting units for which Decision.Reasons
 	// says why they wait.
 	Explain []int
+	// Interference is nil if no units are known to slow each other.
+	Interference *Interference
 	// Disabled are the mechanisms that are switched off.
 	Disabled policy.Disabled
 }
@@ -129,6 +133,8 @@
 	// Stalled are the overdue units that found no workers although free capacity suffices
 	// for them twice over: a bound per worker or Unit.Avoid leaves them none.
 	Stalled []int
+	// Apart are the units among Starts that start elsewhere because of Interference.
+	Apart []Apart
 	// Reasons says why units wait, by their index in Input.Waiting.
 	Reasons map[int]cause.Cause
 }
@@ -179,7 +185,9 @@
 	// relaxed is what the search for capacity for an overdue unit disregards; 0 for
 	// nothing.
 	relaxed relaxation
-	out     Decision
+	// apart adds interference to the score, and spareEmpty a penalty for empty workers.
+	apart, spareEmpty bool
+	out               Decision
 }
 
 // rack is a rack with its workers. reclaimable is the number of accelerators
@@ -254,7 +262,7 @@
 		return
 	}
 	if !blocked {
-		if ws := p.findWorkers(u, p.free, true); ws != nil {
+		if ws := p.findApart(i); ws != nil {
 			p.start(i, ws)
 			return
 		}
@@ -359,6 +367,7 @@
 }
 
 func (p *plan) occupy(u *Unit, workers []int) {
+	p.countKind(u, workers)
 	for _, w := range workers {
 		p.free[w] = p.free[w].Minus(u.Shape)
 		p.availableSoon[w] = p.availableSoon[w].Minus(u.Shape)
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -140,7 +140,7 @@
 // units are packed onto few workers and racks, so that whole workers and racks
 // stay reclaimable.
 func (p *plan) score(u *Unit, w int, free model.Shape, tasks int) float64 {
-	s := p.freeShare(free.Minus(u.Shape), w)
+	s := p.freeShare(free.Minus(u.Shape), w) + p.interference(u, w, tasks)
 	if !u.Urgent || p.in.Disabled[policy.GatherUrgent] {
 		return s
 	}
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -54,13 +54,15 @@
 	WaitingRenewals Mechanism = "waiting_renewals"
 	// RefuseUnfit refuses jobs that fit on no worker.
 	RefuseUnfit Mechanism = "refuse_unfit"
+	// Interference learns which kinds of tasks slow each other and keeps them apart.
+	Interference Mechanism = "interference"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, ProgressEstimates,
-		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit,
+		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, Interference,
 	}
 }
 
