--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -59,6 +59,10 @@
 	Checkpoint string
 	// Percent is the progress, 0 to 100.
 	Percent float64
+	// Load is the tail latency of a task that serves, in milliseconds, and otherwise the CPU
+	// in use, in thousandths of a core. HasLoad says that the worker reported it.
+	Load    float64
+	HasLoad bool
 }
 
 // ResultKind is how a run ended.
@@ -95,6 +99,8 @@
 	Incarnation int64
 	Running     []RunReport
 	Results     []RunResult
+	// OddLoads is the number of running tasks whose load was not a usable number.
+	OddLoads int
 	// MoreResults reports that the worker may have further results, which it lists once
 	// these are acknowledged.
 	MoreResults bool
