Keep tasks apart that slow each other, learnt from the workers' reports

Callers: tasks that slow each other were placed beside each other on a half-empty fleet. Cause: the planner packed by capacity alone and knew nothing of interference. Change: the planner feeds each report, once it is applied as a whole, to the model of internal/decide/interference, with the worker's clock and speed, and passes the established pairs to placement. Log lines when a pair is found and dropped and when a unit is kept apart, at most 10 each 5 s; counters; OPERATIONS and COUNTERS. speedFactor returns 1 until speeds are learnt. The stand-in world can slow runs by their neighbours. Evidence: TestInterferenceIsLearntAgain: the planner is killed halfway, both find the pair; all of the slowed jobs are in time against none with the mechanism off. 6,000 random inputs: no unit waits, stops another or leaves its rack or the kept workers for it.

--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -251,6 +251,7 @@
 		t.stopUnknownRun(w, k)
 	}
 	t.checkSlow(w)
+	t.observeInterference(w, report)
 	w.listedResults = len(report.Results)
 	undecided := 0
 	for _, m := range w.sorted() {
@@ -303,7 +304,7 @@
 	if r.Checkpoint != "" {
 		m.checkpoint = r.Checkpoint
 	}
-	m.percent = r.Percent
+	m.percent, m.load = r.Percent, r.Load
 	t.endIsolation(m)
 	t.trackProgress(w, m)
 	if m.stopping || m.unit.aborting || m.unit.job.ended() {
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -48,6 +48,7 @@
 	t.applyCauses(v, decision.Reasons, now)
 	t.logOverdue(v, &decision, now)
 	t.logStalled(v, &decision, now)
+	t.logApart(v, &decision)
 	var stopped, placed []*unit
 	for _, r := range decision.Stops {
 		stopped = append(stopped, v.running[r])
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/boottime"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/interference"
 	"github.com/dogwoodworks/dogwoodworks/internal/decide/progress"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
@@ -66,6 +67,8 @@
 	// bestRates is the highest rate of progress of the tasks of each step, in percent per
 	// second.
 	bestRates map[int]float64
+	// kinds caches the kind of the tasks of each step.
+	kinds []string
 }
 
 // ended reports whether the job is in a terminal state, so that none of its units may
@@ -178,7 +181,11 @@
 	checkpoint string
 	percent    float64
 	tracker    progress.Tracker
-	removed    bool
+	// load is the load that the worker last reported; 0 if it is not known. slowDown finds
+	// what slows the run.
+	load     float64
+	slowDown interference.Run
+	removed  bool
 }
 
 func (m *member) task() TaskID {
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -88,6 +88,8 @@
 	jobsRevision int64
 	// room decides how much room is kept for urgent units.
 	room urgentRoom
+	// interference is what was learnt about kinds of tasks that slow each other.
+	interference interferenceState
 	// recentLoad is the load since it was last logged.
 	recentLoad loadStats
 }
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -71,6 +71,7 @@
 	t.addRunning(v, now)
 	t.limitStops(v)
 	t.addWaiting(v, now)
+	t.addInterference(v)
 	return v
 }
 
--- a/internal/standin/world/worker.go
+++ b/internal/standin/world/worker.go
@@ -118,7 +118,9 @@
 	// stall has been applied to them.
 	stalled   bool
 	stalledAt time.Time
-	changes   capacityChanges
+	// interferedAt is the time up to which interference has been applied to the runs.
+	interferedAt time.Time
+	changes      capacityChanges
 	// returnAt is when the next process starts by itself; zero for never. removed says
 	// that the registration was removed, and lives counts the earlier Workers at the
 	// address.
@@ -215,6 +217,7 @@
 		x.ignoredUpTo = x.lastResult
 	}
 	x.postponeStalled(now)
+	x.postponeInterfered(now)
 	for _, r := range x.sorted() {
 		switch {
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -55,6 +55,8 @@
 	workers   []*Worker
 	jobs      map[string]*Job
 	links     map[string]*Link
+	// interference has the factors of SetInterference.
+	interference map[[2]string]float64
 	// acknowledgedDone holds the tasks whose result ResultDone the planner
 	// acknowledged.
 	acknowledgedDone map[planner.TaskID]bool
