--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -62,13 +62,15 @@
 	RefuseUnfit Mechanism = "refuse_unfit"
 	// PreferWarm prefers workers that are not slow after their start.
 	PreferWarm Mechanism = "prefer_warm"
+	// Interference learns which kinds of tasks slow each other and keeps them apart.
+	Interference Mechanism = "interference"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Preemption, LeastLoss, StopLimit, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, AccountOrder, ProgressEstimates,
-		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, PreferWarm,
+		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, PreferWarm, Interference,
 	}
 }
 
