Choose among nearly equal places by the speed of the workers

What callers saw: a gang with one slow member held all its workers at that pace, and urgent gangs ran on slow workers while fast ones ran tasks that can take longer.

Cause: the placement rated workers by capacity only.

Change: Worker.SpeedFactor adds a term to the score that is smaller than one accelerator. Urgent units prefer faster workers, deferrable ones slower ones and those of unknown speed. For a gang, whole sets of members are compared.

TestPlanWithoutSpeeds: the same placements without speeds, with equal ones and when disabled.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -28,6 +28,9 @@
 	// Reachable workers accept orders, and Schedulable ones also get new work: they are
 	// not closed.
 	Reachable, Schedulable bool
+	// SpeedFactor is the run time of a task on the worker relative to that on the median
+	// worker; 0 if it is not known.
+	SpeedFactor float64
 }
 
 // Unit is a waiting gang, or one waiting task of a step that is no gang.
@@ -54,6 +57,8 @@
 	// AvoidFailed has the indices of the workers on which the unit failed and
 	// starts only if it is overdue; nil for none.
 	AvoidFailed map[int]bool
+	// Deferrable units are those that can best take longer.
+	Deferrable bool
 	// Overdue units must not wait any longer beside free capacity.
 	Overdue bool
 	// LongRunning units run until their job is cancelled.
@@ -179,7 +184,9 @@
 	// relaxed is what the search for capacity for an overdue unit disregards; 0 for
 	// nothing.
 	relaxed relaxation
-	out     Decision
+	// speeds are the speeds of the workers; nil if none is known.
+	speeds *speeds
+	out    Decision
 }
 
 // rack is a rack with its workers. reclaimable is the number of accelerators
@@ -297,6 +304,7 @@
 		r.reclaimable += w.Capacity.Accelerators
 		r.all += w.Capacity.Accelerators
 	}
+	p.speeds = newSpeeds(in.Workers, in.Disabled)
 	p.keepForUrgent()
 	for i := range in.Running {
 		r := &in.Running[i]
--- a/internal/decide/placement/reference_test.go
+++ b/internal/decide/placement/reference_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"testing"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/policy"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -258,3 +259,25 @@
 		}
 	}
 }
+
+// TestPlanWithoutSpeeds guards against placements that change where nothing is learnt: with
+// the speeds disabled, and with workers that are all as fast as the median.
+func TestPlanWithoutSpeeds(t *testing.T) {
+	for seed := range uint64(3000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		in := randomInput(rng)
+		want := Plan(in.clone())
+		equal, disabled := in.clone(), in.clone()
+		equal.Workers, disabled.Workers = slices.Clone(in.Workers), slices.Clone(in.Workers)
+		disabled.Disabled = policy.Disabled{policy.WorkerSpeed: true}
+		for i := range in.Workers {
+			equal.Workers[i].SpeedFactor, disabled.Workers[i].SpeedFactor = 1, 0.8+0.5*rng.Float64()
+		}
+		if got := Plan(equal); !reflect.DeepEqual(got, want) {
+			t.Fatalf("seed %d, equal workers:\n got %+v\nwant %+v", seed, got, want)
+		}
+		if got := Plan(disabled); !reflect.DeepEqual(got, want) {
+			t.Fatalf("seed %d, disabled:\n got %+v\nwant %+v", seed, got, want)
+		}
+	}
+}
--- a/internal/decide/placement/room.go
+++ b/internal/decide/placement/room.go
@@ -27,11 +27,11 @@
 	var best []int
 	least := 0.0
 	for _, group := range p.workerGroups(u) {
-		ws := p.bestFit(u, group, free, backfill)
+		ws := p.fit(u, group, free, backfill)
 		if ws == nil {
 			continue
 		}
-		cores := p.freeCores(group, free)
+		cores := p.freeCores(group, free) + p.rackSpeedCores(u, ws)
 		if u.Urgent {
 			cores += notKeptWeight * p.notKept(group)
 		}
@@ -140,7 +140,7 @@
 // units are packed onto few workers and racks, so that whole workers and racks
 // stay reclaimable.
 func (p *plan) score(u *Unit, w int, free model.Shape, tasks int) float64 {
-	s := p.freeShare(free.Minus(u.Shape), w)
+	s := p.freeShare(free.Minus(u.Shape), w) + p.speedTerm(u, w)
 	if !u.Urgent || p.in.Disabled[policy.GatherUrgent] {
 		return s
 	}
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -54,13 +54,17 @@
 	WaitingRenewals Mechanism = "waiting_renewals"
 	// RefuseUnfit refuses jobs that fit on no worker.
 	RefuseUnfit Mechanism = "refuse_unfit"
+	// WorkerSpeed learns the speeds of workers and places units by them.
+	WorkerSpeed Mechanism = "worker_speed"
+	// KindEstimates corrects callers' estimates by what is learnt of their queue.
+	KindEstimates Mechanism = "kind_estimates"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Preemption, LeastLoss, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, ProgressEstimates,
-		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit,
+		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, WorkerSpeed, KindEstimates,
 	}
 }
 
