Learn the speeds of workers and the errors of estimates from reports

What callers saw: gangs and urgent work on slow workers; capacity went to jobs that could not be in time any more, and others counted as late that were not.

Cause: the planner used callers' estimates as they are, for expected ends and the order, and no speeds of workers.

Change: the planner feeds internal/decide/speed from the progress and the ends of runs, discards what it knows of an incarnation that has ended, and passes the factors to the placement. By queue it tracks the ratio of run times to estimates, of units and of steps, and uses it for expected ends, objectives and critical paths in the order, reservations and the check for stalled runs. Nothing is written to the store. Bounds from gangs have a place of their own, so that they push out no observations.

--- a/internal/decide/speed/speed.go
+++ b/internal/decide/speed/speed.go
@@ -17,6 +17,8 @@
 	// maxObservations is the number of observations that are kept of a worker, the newest:
 	// with 24 that differ by 0.3 the standard error is 0.06.
 	maxObservations = 24
+	// maxBounds is the number of bounds from gangs that are kept of a worker, the newest.
+	maxBounds = 8
 	// minObservations is the number of observations from which a worker's factor is known. With
 	// fewer, the variance between workers that the tail causes is hard to tell from a difference.
 	minObservations = 8
@@ -83,6 +85,8 @@
 // evidence is what was observed of a worker.
 type evidence struct {
 	observations []observation
+	// bounds have no step.
+	bounds []observation
 	// mean is the logarithm of the worker's factor relative to the median, and uses the
 	// number of observations that it is from, as of the last call of Solve.
 	mean float64
@@ -90,7 +94,6 @@
 }
 
 type observation struct {
-	// step identifies the step; empty for a bound from a gang.
 	step string
 	// value is the logarithm of the run time, or that of the bound on the factor.
 	value float64
@@ -101,7 +104,15 @@
 // the worker's clock. Tasks of the same step are compared, also those of different calls.
 func (e *Estimator) Observe(w Worker, step string, rate float64, at time.Duration) {
 	if rate > 0 && !math.IsInf(rate, 1) && step != "" {
-		e.add(w, observation{step, -math.Log(rate), at})
+		if e.workers == nil {
+			e.workers = make(map[Worker]*evidence)
+		}
+		x := e.workers[w]
+		if x == nil {
+			x = &evidence{}
+			e.workers[w] = x
+		}
+		x.observations = appendNewest(x.observations, observation{step, -math.Log(rate), at}, maxObservations)
 	}
 }
 
@@ -109,24 +120,26 @@
 // that no member is slower than a factor. It makes no worker count as fast or slow: it only
 // weakens the evidence that one is slow.
 func (e *Estimator) Bound(w Worker, factor float64, at time.Duration) {
-	if factor > 0 && e.workers[w] != nil {
-		e.add(w, observation{value: math.Log(factor), at: at})
+	if x := e.workers[w]; x != nil && factor > 0 {
+		x.bounds = appendNewest(x.bounds, observation{value: math.Log(factor), at: at}, maxBounds)
 	}
 }
 
-func (e *Estimator) add(w Worker, o observation) {
-	if e.workers == nil {
-		e.workers = make(map[Worker]*evidence)
+// appendNewest appends an observation and removes the oldest one beyond a limit.
+func appendNewest(all []observation, o observation, limit int) []observation {
+	if len(all) >= limit {
+		all = all[:copy(all, all[1:])]
 	}
-	x := e.workers[w]
-	if x == nil {
-		x = &evidence{}
-		e.workers[w] = x
-	}
-	if len(x.observations) >= maxObservations {
-		x.observations = x.observations[:copy(x.observations, x.observations[1:])]
+	return append(all, o)
+}
+
+// dropOld removes the observations that are too old.
+func dropOld(all []observation, now time.Duration) []observation {
+	old := 0
+	for old < len(all) && now-all[old].at > maxAge {
+		old++
 	}
-	x.observations = append(x.observations, o)
+	return all[old:]
 }
 
 // Forget discards what is known of a worker.
@@ -196,11 +209,7 @@
 // expire removes the observations that are too old, and workers that have none.
 func (e *Estimator) expire(now time.Duration) {
 	for w, x := range e.workers {
-		old := 0
-		for old < len(x.observations) && now-x.observations[old].at > maxAge {
-			old++
-		}
-		x.observations = x.observations[old:]
+		x.observations, x.bounds = dropOld(x.observations, now), dropOld(x.bounds, now)
 		if len(x.observations) == 0 {
 			delete(e.workers, w)
 		}
@@ -214,11 +223,10 @@
 	var all [][]sample
 	for _, x := range e.workers {
 		x.uses = 0
+		for _, b := range x.bounds {
+			bounds = append(bounds, sample{worker: x, value: b.value})
+		}
 		for _, o := range x.observations {
-			if o.step == "" {
-				bounds = append(bounds, sample{worker: x, value: o.value})
-				continue
-			}
 			k, ok := index[o.step]
 			if !ok {
 				k = len(all)
--- a/internal/decide/speed/speed_test.go
+++ b/internal/decide/speed/speed_test.go
@@ -140,3 +140,31 @@
 		t.Errorf("median %.2f, spread %.2f", m, s)
 	}
 }
+
+// TestGangsOnlyWeakenSlowness guards against gangs that make workers count as fast or slow: a
+// gang's pace is that of its slowest member. Alone they teach nothing; a worker that counts
+// as slow, and of which fast gangs say otherwise, counts as less slow.
+func TestGangsOnlyWeakenSlowness(t *testing.T) {
+	var alone speed.Estimator
+	for i := range 100 {
+		alone.Bound(speed.Worker{ID: fmt.Sprint(i % 10), Incarnation: 1}, 0.5+0.1*float64(i%10), 0)
+	}
+	if alone.Solve(0); len(alone.Estimates()) != 0 {
+		t.Errorf("learnt from gangs alone: %v", alone.Estimates())
+	}
+	f := newFleet(2, 0.15, 0.8, 1, 1.25)
+	f.play(time.Minute)
+	slow, fast := f.workers[2], f.workers[0]
+	before, _ := f.e.Estimate(slow)
+	fastBefore, _ := f.e.Estimate(fast)
+	for range 8 {
+		f.e.Bound(slow, 1, f.now)
+		f.e.Bound(fast, 0.5, f.now)
+	}
+	f.e.Solve(f.now)
+	after, _ := f.e.Estimate(slow)
+	fastAfter, _ := f.e.Estimate(fast)
+	if after.Factor > before.Factor-0.02 || math.Abs(fastAfter.Factor-fastBefore.Factor) > 0.05 {
+		t.Errorf("slow worker %.3f -> %.3f, fast worker %.3f -> %.3f", before.Factor, after.Factor, fastBefore.Factor, fastAfter.Factor)
+	}
+}
--- a/internal/fleet/planner/export_test.go
+++ b/internal/fleet/planner/export_test.go
@@ -28,3 +28,20 @@
 	"persist result first":    func(p *Planner) { p.disabled.persistResultFirst = true },
 	"await all results":       func(p *Planner) { p.disabled.awaitAllResults = true },
 }
+
+// KnownSpeeds returns the factors of the workers whose speed the current term knows.
+func KnownSpeeds(p *Planner) map[string]float64 {
+	t, err := p.currentTerm()
+	if err != nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := make(map[string]float64)
+	for _, w := range t.workers {
+		if w.speed > 0 {
+			known[w.id] = w.speed
+		}
+	}
+	return known
+}
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -219,6 +219,7 @@
 func (t *term) applyRestart(w *worker, incarnation int64) {
 	t.p.Log.Warn("worker restarted", "worker", w.id, "born", incarnation, "before", w.incarnation, "runs", len(w.members))
 	t.p.Meter.Inc("worker_reborn")
+	t.forgetSpeed(w)
 	w.incarnation, w.responded, w.restartedAt = incarnation, false, boottime.Now()
 	w.token++
 	w.lastResult, w.lastPersistedResult, w.leaseUntil, w.pendingResults = 0, 0, 0, nil
@@ -292,7 +293,7 @@
 // applyRunning applies the report of a running task.
 func (t *term) applyRunning(w *worker, m *member, r RunReport, sentAt boottime.Time) {
 	if m.startAckedAt == 0 {
-		m.startAckedAt = sentAt
+		m.startAckedAt, m.pace.startUnknown = sentAt, true
 		m.unit.recordStarted(time.Now())
 	}
 	if m.incarnation != w.incarnation {
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -142,6 +142,9 @@
 	}
 	u := m.unit
 	u.job.begun = true
+	if r.Kind == ResultDone {
+		t.observeEnd(w, m)
+	}
 	t.dropMember(w, m)
 	if r.Checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = r.Checkpoint
--- a/internal/fleet/planner/load.go
+++ b/internal/fleet/planner/load.go
@@ -31,6 +31,7 @@
 }
 
 func (t *term) logLoad() {
+	t.logKinds()
 	recent := t.recentLoad
 	t.recentLoad = loadStats{}
 	waiting, placed, withoutResponse := 0, 0, 0
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -37,6 +37,7 @@
 	}
 	t.recordLeaseWaits(now)
 	t.refreshQueues()
+	t.refreshSpeeds(now)
 	v := t.view(now)
 	t.logLongWaiting(v, now)
 	if len(v.waiting) == 0 {
--- a/internal/fleet/planner/slow.go
+++ b/internal/fleet/planner/slow.go
@@ -25,7 +25,7 @@
 	if u.step().LongRunning || u.aborting || !u.allReported() {
 		return
 	}
-	reference := progress.Reference{Estimate: u.step().Estimate}
+	reference := progress.Reference{Estimate: time.Duration(t.estimateOf(u) * float64(time.Second))}
 	wellPlaced := t.wellPlaced(u)
 	if wellPlaced {
 		reference.SiblingRate = u.job.bestRates[u.key.step]
@@ -37,6 +37,7 @@
 		}
 		u.job.bestRates[u.key.step] = m.tracker.BestRate
 	}
+	t.observePace(w, m, m.percent, wellPlaced)
 }
 
 // allReported reports whether all members were reported as running.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -66,6 +66,8 @@
 	// bestRates is the highest rate of progress of the tasks of each step, in percent per
 	// second.
 	bestRates map[int]float64
+	// times has the known run times of the steps.
+	times map[stepKey]stepTimes
 }
 
 // ended reports whether the job is in a terminal state, so that none of its units may
@@ -178,6 +180,7 @@
 	checkpoint string
 	percent    float64
 	tracker    progress.Tracker
+	pace       pace
 	removed    bool
 }
 
@@ -254,6 +257,10 @@
 	failedJobs map[string]bool
 	// closeCount counts how often the worker was closed since the last run that was done.
 	closeCount int
+	// speed is the factor of the current incarnation; 0 if it is not known. speedLogged
+	// reports whether it was logged.
+	speed       float64
+	speedLogged bool
 	// wake interrupts the pause before the next renewal.
 	wake chan struct{}
 }
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -90,6 +90,9 @@
 	room urgentRoom
 	// recentLoad is the load since it was last logged.
 	recentLoad loadStats
+	// speeds and kinds, by queue, are what is learnt of workers and of callers' estimates.
+	speeds speeds
+	kinds  map[string]*kind
 }
 
 func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
--- a/internal/fleet/planner/view.go
+++ b/internal/fleet/planner/view.go
@@ -64,7 +64,7 @@
 		v.in.Workers = append(v.in.Workers, placement.Worker{
 			ID: w.id, Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: w.info.Capacity.Minus(w.occupied()),
-			Reachable: state >= workerClosed, Schedulable: state == workerOpen,
+			Reachable: state >= workerClosed, Schedulable: state == workerOpen, SpeedFactor: w.speed,
 		})
 	}
 	t.markGuaranteed()
@@ -186,7 +186,7 @@
 		NotPreemptible: u.reportedRun > 0,
 	}
 	elapsed := now.Sub(u.placedAt).Seconds()
-	r.EndsIn = u.expectedRemaining(elapsed, t.p.Disabled[policy.ProgressEstimates])
+	r.EndsIn = t.expectedRemaining(u, elapsed)
 	discarded := elapsed
 	if s.Checkpoints && !t.p.Disabled[policy.Checkpoints] {
 		// A stop saves a checkpoint, so at most about a second of work is discarded: the
@@ -199,8 +199,8 @@
 
 // expectedRemaining returns the expected time until a running unit ends, in seconds;
 // infinite for a long-running one. One that has overrun its estimate is expected to take as
-// long again as it has overrun it. If estimateOnly is set, it disregards the unit's progress.
-func (u *unit) expectedRemaining(elapsed float64, estimateOnly bool) float64 {
+// long again as it has overrun it.
+func (t *term) expectedRemaining(u *unit, elapsed float64) float64 {
 	if u.step().LongRunning {
 		return math.Inf(1)
 	}
@@ -208,11 +208,12 @@
 	for _, m := range u.members {
 		percent = min(percent, m.percent)
 	}
-	if percent >= 10 && percent < 100 && elapsed > 1 && !estimateOnly {
+	if percent >= 10 && percent < 100 && elapsed > 1 && !t.p.Disabled[policy.ProgressEstimates] {
 		return max(elapsed*(100-percent)/percent, minRemaining)
 	}
-	overrun := elapsed - u.step().Estimate.Seconds()
-	return max(-overrun, overrun, minRemaining)
+	estimate, doubt := t.expectedRuntime(u)
+	overrun := elapsed - estimate
+	return max(-overrun, overrun, doubt, minRemaining)
 }
 
 // waitingStep holds the waiting units of one occurrence of a step, in the order in which
@@ -233,7 +234,7 @@
 	sort.Slice(steps, func(a, b int) bool { return steps[a].before(&steps[b]) })
 	ranks, n := make([]order.Unit, len(steps)), 0
 	for i := range steps {
-		ranks[i] = steps[i].units[0].orderInput(now)
+		ranks[i] = t.orderInput(steps[i].units[0], now)
 		n += len(steps[i].units)
 	}
 	v.waiting, v.in.Waiting = make([]*unit, 0, n), make([]placement.Unit, 0, n)
@@ -293,18 +294,18 @@
 }
 
 // orderInput returns the attributes that determine a unit's position in the queue.
-func (u *unit) orderInput(now time.Time) order.Unit {
+func (t *term) orderInput(u *unit, now time.Time) order.Unit {
 	j := u.job
 	since := j.accepted
 	if j.spec.Job.Occurrences > 0 {
 		since = j.dueAt(u.key.occurrence)
 	}
 	age := now.Sub(since).Seconds()
-	criticalPaths := j.criticalPaths()
-	objective := j.objective().Seconds()
+	criticalPaths := t.expectedPaths(j, u.key.occurrence)
+	objective := j.objectiveFor(slices.Max(criticalPaths))
 	return order.Unit{
 		Guaranteed: j.guaranteed, Priority: j.queue.Priority,
-		DueIn: objective - age, WorthlessIn: worthlessFactor*objective - age, CriticalPath: criticalPaths[u.key.step],
+		DueIn: objective - age, WorthlessIn: worthlessFactor*objective - age, CriticalPath: t.expectedPath(u, criticalPaths),
 	}
 }
 
@@ -316,18 +317,7 @@
 // criticalPaths returns, for each step, the estimated time in seconds from its start
 // until all steps that depend on it are done.
 func (j *job) criticalPaths() []float64 {
-	steps := j.spec.Job.Steps
-	paths := make([]float64, len(steps))
-	for s := len(steps) - 1; s >= 0; s-- {
-		longest := 0.0
-		for k := s + 1; k < len(steps); k++ {
-			if slices.Contains(steps[k].After, s) {
-				longest = max(longest, paths[k])
-			}
-		}
-		paths[s] = steps[s].Estimate.Seconds() + longest
-	}
-	return paths
+	return j.pathsOf(func(step int) float64 { return j.spec.Job.Steps[step].Estimate.Seconds() })
 }
 
 // waitingInput returns the placement input of a waiting unit.
@@ -336,7 +326,7 @@
 	in := placement.Unit{
 		Service: u.job.queue.Service, Tasks: u.tasks(), Shape: s.CountedShape(), SameRack: s.SameRack, Label: s.Label,
 		PerWorker: s.PerWorker, Urgent: u.job.queue.Priority == 0, Guaranteed: u.job.guaranteed,
-		Runtime: s.Estimate.Seconds(), LongRunning: s.LongRunning,
+		Runtime: t.estimateOf(u), LongRunning: s.LongRunning, Deferrable: u.job.queue.Priority > 1,
 	}
 	if j := u.job; j.guaranteed && u.run == 0 && now.Sub(j.accepted) > anyRackAge && !t.p.Disabled[policy.LeaveRack] {
 		in.SameRack = false
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -332,7 +332,7 @@
 	}
 	w.checkCrashBudget(o.Task)
 	x.runs[runKey{r.task, r.run}] = r
-	w.startWork(x, r, time.Duration(float64(j.Runtime)*x.slowFactor))
+	w.startWork(x, r, j.Runtime)
 }
 
 // startWork starts the work of a run, or of its gang once all members have
@@ -348,6 +348,7 @@
 			runtime = time.Duration(float64(runtime) * w.Bounds.RemoteFactor)
 		}
 	}
+	runtime = time.Duration(float64(runtime) * slowest(members))
 	for _, m := range members {
 		m.run.setDoneAt(time.Now(), runtime)
 	}
