--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -33,6 +33,9 @@
 	Evacuated bool
 	// Cold workers are slow for some time after their start.
 	Cold bool
+	// SpeedFactor is the run time of a task on the worker relative to that on the median
+	// worker; 0 if it is not known.
+	SpeedFactor float64
 }
 
 // Unit is a waiting gang, or one waiting task of a step that is no gang.
@@ -59,6 +62,8 @@
 	// AvoidFailed has the indices of the workers on which the unit failed and
 	// starts only if it is overdue; nil for none.
 	AvoidFailed map[int]bool
+	// Deferrable units are those that can best take longer.
+	Deferrable bool
 	// Overdue units must not wait any longer beside free capacity.
 	Overdue bool
 	// LongRunning units run until their job is cancelled.
@@ -196,7 +201,9 @@
 	relaxed relaxation
 	// apart adds interference to the score, and spareEmpty a penalty for empty workers.
 	apart, spareEmpty bool
-	out               Decision
+	// speeds are the speeds of the workers; nil if none is known.
+	speeds *speeds
+	out    Decision
 }
 
 // rack is a rack with its workers. reclaimable is the number of accelerators
@@ -314,6 +321,7 @@
 		r.reclaimable += w.Capacity.Accelerators
 		r.all += w.Capacity.Accelerators
 	}
+	p.speeds = newSpeeds(in.Workers, in.Disabled)
 	p.keepForUrgent()
 	for i := range in.Running {
 		r := &in.Running[i]
--- a/internal/decide/policy/policy.go
+++ b/internal/decide/policy/policy.go
@@ -64,6 +64,10 @@
 	PreferWarm Mechanism = "prefer_warm"
 	// Interference learns which kinds of tasks slow each other and keeps them apart.
 	Interference Mechanism = "interference"
+	// WorkerSpeed learns the speeds of workers and places units by them.
+	WorkerSpeed Mechanism = "worker_speed"
+	// KindEstimates corrects callers' estimates by what is learnt of their queue.
+	KindEstimates Mechanism = "kind_estimates"
 )
 
 // Mechanisms returns all mechanisms.
@@ -71,6 +75,7 @@
 	return []Mechanism{
 		Preemption, LeastLoss, StopLimit, Nomination, Reservations, Backfill, GatherUrgent, UrgentRoom, LeaveRack, OrderTimeliness, OrderSlack, AccountOrder, ProgressEstimates,
 		Checkpoints, SlowWorkers, Quarantine, AvoidFailed, WarmUp, Notices, WaitingRenewals, RefuseUnfit, PreferWarm, Interference,
+		WorkerSpeed, KindEstimates,
 	}
 }
 
--- a/internal/fleet/planner/load.go
+++ b/internal/fleet/planner/load.go
@@ -32,6 +32,7 @@
 
 func (t *term) logLoad() {
 	t.expireInterference()
+	t.logKinds()
 	recent := t.recentLoad
 	t.recentLoad = loadStats{}
 	waiting, placed, withoutResponse := 0, 0, 0
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -72,6 +72,8 @@
 	bestRates map[int]float64
 	// kinds caches the kind of the tasks of each step.
 	kinds []string
+	// times has the known run times of the steps.
+	times map[stepKey]stepTimes
 }
 
 // ended reports whether the job is in a terminal state, so that none of its units may
@@ -199,6 +201,7 @@
 	// what slows the run.
 	load     float64
 	slowDown interference.Run
+	pace     pace
 	removed  bool
 }
 
@@ -277,6 +280,10 @@
 	failedJobs map[string]bool
 	// closeCount counts how often the worker was closed since the last run that was done.
 	closeCount int
+	// speed is the factor of the current incarnation; 0 if it is not known. speedLogged
+	// reports whether it was logged.
+	speed       float64
+	speedLogged bool
 	// wake interrupts the pause before the next renewal.
 	wake chan struct{}
 }
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -94,6 +94,9 @@
 	recentLoad loadStats
 	// evacuations are the evacuations of data centres.
 	evacuations evacuations
+	// speeds and kinds, by queue, are what is learnt of workers and of callers' estimates.
+	speeds speeds
+	kinds  map[string]*kind
 }
 
 func newTerm(ctx context.Context, cancel context.CancelFunc, p *Planner, revision int64, valid func() bool) *term {
