Soak: evacuations of data centres

What callers saw: nothing; the soak knew no evacuations.

Change: the 12 workers are in three data centres. While the faults are injected, an operator evacuates them at random: several at a time, for up to ten seconds and more, in quick succession, and with keys that name none. evacuation_ms is 3,000. The operator has a random source of its own, so the faults of a seed stay as they were.

--- a/internal/proof/soak/check_test.go
+++ b/internal/proof/soak/check_test.go
@@ -100,6 +100,13 @@
 	return fmt.Sprint(c.counts)
 }
 
+// count counts an event for the summary.
+func (c *checker) count(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[name]++
+}
+
 // setFaultFree records whether all faults are healed.
 func (c *checker) setFaultFree(faultFree bool) {
 	c.mu.Lock()
--- a/internal/proof/soak/fleet_test.go
+++ b/internal/proof/soak/fleet_test.go
@@ -23,7 +23,7 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/standin/world"
 )
 
-var bounds = world.Bounds{MaxLease: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second}
+var bounds = world.Bounds{DataCentres: dataCentres, MaxLease: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second}
 
 // The ports of a VM; every VM has its own address.
 const (
@@ -94,6 +94,7 @@
 	log, err := os.Create(filepath.Join(dir, "soak.log"))
 	fatal(t, err)
 	w := world.New(seed, workers, bounds)
+	w.SetEvacuationBound(evacuationTime)
 	f := &fleet{
 		t: t, dir: dir, world: w, relays: make(map[string]*relay.Relay), check: newChecker(w),
 		log: slog.New(slog.NewJSONHandler(log, nil)),
@@ -186,6 +187,7 @@
 stable_window_ms = {{.StableWindow}}
 gang_timeout_ms = 3000
 config_apply_ms = 2500
+evacuation_ms = {{.Evacuation}}
 grace_period_s = 6
 [platform]
 address = "{{.Store}}"
@@ -201,7 +203,7 @@
 	var b bytes.Buffer
 	err := settings.Execute(&b, map[string]any{
 		"Name": v.name, "IP": v.ip, "Peer": peerPort, "Callers": callersPort, "Readiness": readinessPort, "Seeds": seeds, "Store": v.store.Address(), "CPUShare": v.cpuShare,
-		"Heartbeat": world.HeartbeatInterval.Milliseconds(), "StableWindow": world.StableWindow.Milliseconds(),
+		"Heartbeat": world.HeartbeatInterval.Milliseconds(), "StableWindow": world.StableWindow.Milliseconds(), "Evacuation": evacuationTime.Milliseconds(),
 	})
 	if err == nil {
 		err = os.WriteFile(v.settings+".new", b.Bytes(), 0o600)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -116,6 +116,12 @@
 	background.Go(func() { f.probe(ctx, probeRand) })
 	background.Go(func() { f.balance(ctx) })
 
+	operatorRand := rand.New(rand.NewPCG(seed, 60))
+	operatorCtx, stopOperator := context.WithCancel(ctx)
+	defer stopOperator()
+	var operator sync.WaitGroup
+	operator.Go(func() { f.evacuateRandomly(operatorCtx, operatorRand) })
+
 	var faults sync.WaitGroup
 	for range faultsPerSeed {
 		name, fault := f.randomFault(rng)
@@ -124,6 +130,8 @@
 		time.Sleep(time.Duration(300+rng.IntN(2200)) * time.Millisecond)
 	}
 	faults.Wait()
+	stopOperator()
+	operator.Wait()
 	f.heal()
 	ended := make(chan struct{})
 	var judge sync.WaitGroup
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -22,8 +22,10 @@
 
 // Keys of the store that the operators and the workers write.
 const (
-	ConfigKey    = "op/config"
-	WorkerPrefix = "servers/"
+	ConfigKey = "op/config"
+	// EvacuationPrefix is followed by the name of a data centre.
+	EvacuationPrefix = "op/evacuate/"
+	WorkerPrefix     = "servers/"
 )
 
 // Wire serves a world over HTTP. Its exported fields, except StoreAddress, are set
--- a/internal/standin/world/evacuation.go
+++ b/internal/standin/world/evacuation.go
@@ -59,9 +59,9 @@
 
 // Evacuate evacuates a data centre by writing a key that the operators use.
 func (w *World) Evacuate(dataCentre, key string) {
-	w.Store.Put(key, []byte("{}"))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.Store.Put(key, []byte("{}"))
 	if w.evacuations.since == nil {
 		w.evacuations.since = make(map[string]time.Time)
 	}
@@ -73,8 +73,8 @@
 // EndEvacuation ends the evacuation of a data centre by removing its key.
 func (w *World) EndEvacuation(dataCentre, key string) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	delete(w.evacuations.since, dataCentre)
-	w.mu.Unlock()
 	w.Store.Remove(key)
 }
 
