--- a/internal/fleet/planner/interference.go
+++ b/internal/fleet/planner/interference.go
@@ -31,12 +31,9 @@
 // persisted: the next term learns again.
 type interferenceState struct {
 	model interference.Model
-	// index numbers the kinds of the established pairs from 1, and slowDown and estimates
-	// have the pairs by these numbers. They are rebuilt if stale.
-	index     map[string]int
-	slowDown  [][]float64
-	estimates map[[2]int]interference.Estimate
-	stale     bool
+	// matrix has the established pairs; it is rebuilt if stale.
+	matrix interference.Matrix
+	stale  bool
 	// lines and apartLines are the log lines since the load was last logged.
 	lines, apartLines int
 	// beside and others are the scratch space of observeInterference.
@@ -193,34 +190,6 @@
 
 func roundFactor(x float64) float64 { return math.Round(100*x) / 100 }
 
-// refresh rebuilds what placement needs to know of the established pairs.
-func (s *interferenceState) refresh() {
-	if !s.stale {
-		return
-	}
-	s.stale, s.index, s.estimates = false, make(map[string]int), make(map[[2]int]interference.Estimate)
-	all := s.model.Established()
-	slices.SortStableFunc(all, func(a, b interference.Estimate) int { return cmp.Compare(b.SlowDown, a.SlowDown) })
-	number := func(kind string) int {
-		if s.index[kind] == 0 && len(s.index) < maxInterferingKinds {
-			s.index[kind] = len(s.index) + 1
-		}
-		return s.index[kind]
-	}
-	for _, x := range all {
-		if a, b := number(x.Kind), number(x.By); a > 0 && b > 0 {
-			s.estimates[[2]int{a, b}] = x
-		}
-	}
-	s.slowDown = make([][]float64, len(s.index)+1)
-	for a := range s.slowDown {
-		s.slowDown[a] = make([]float64, len(s.slowDown))
-	}
-	for k, x := range s.estimates {
-		s.slowDown[k[0]][k[1]] = math.Log(x.SlowDown)
-	}
-}
-
 // addInterference adds to a view which of its units slow each other. It does nothing while
 // no pair is known.
 func (t *term) addInterference(v *view) {
@@ -228,24 +197,26 @@
 	if !s.model.Known() || t.p.Disabled[policy.Interference] || len(v.waiting) == 0 {
 		return
 	}
-	s.refresh()
+	if s.stale {
+		s.matrix, s.stale = s.model.Matrix(maxInterferingKinds), false
+	}
 	known := false
 	for i, u := range v.waiting {
-		v.in.Waiting[i].Kind = s.index[u.job.kind(u.key.step)]
+		v.in.Waiting[i].Kind = s.matrix.Index[u.job.kind(u.key.step)]
 		known = known || v.in.Waiting[i].Kind > 0
 	}
 	if !known {
 		return
 	}
-	x := &placement.Interference{SlowDown: s.slowDown, On: make([][]int, len(v.workers))}
+	x := &placement.Interference{SlowDown: s.matrix.SlowDown, On: make([][]int, len(v.workers))}
 	for i, w := range v.workers {
 		for _, m := range w.sorted() {
-			k := s.index[m.unit.job.kind(m.unit.key.step)]
+			k := s.matrix.Index[m.unit.job.kind(m.unit.key.step)]
 			if k == 0 || m.stopping {
 				continue
 			}
 			if x.On[i] == nil {
-				x.On[i] = make([]int, len(s.slowDown))
+				x.On[i] = make([]int, len(s.matrix.SlowDown))
 			}
 			x.On[i][k]++
 		}
@@ -263,10 +234,10 @@
 			continue
 		}
 		u, pair := v.waiting[a.Unit], [2]int{v.in.Waiting[a.Unit].Kind, a.Kind}
-		if o := [2]int{a.Kind, pair[0]}; s.slowDown[o[0]][o[1]] > s.slowDown[pair[0]][pair[1]] {
+		if o := [2]int{a.Kind, pair[0]}; s.matrix.Estimates[o].SlowDown > s.matrix.Estimates[pair].SlowDown {
 			pair = o
 		}
-		x := s.estimates[pair]
+		x := s.matrix.Estimates[pair]
 		t.p.Log.Info("kept apart", "job", u.job.id, "step", u.key.step, "index", u.key.index, "from_worker", v.workers[a.Worker].id,
 			"kind", x.Kind, "by", x.By, "slows_by", roundFactor(x.SlowDown), "age_ms", (t.age() - x.At).Milliseconds())
 	}
