Run records: collect the time by cause in time proportional to the units

The record of a job of 16,384 tasks took seconds to encode under the term's lock, since each unit looked for its last dependency among all units. Units of a step whose accounts began together now share the part before that. TestRecordOfManyTasksFits has accounts, stops and failed work in its worst state and took 259 s before, 4 to 14 s on the same loaded machine after; the largest record is 1,003,824 bytes of 1,048,576.

--- a/internal/fleet/planner/account.go
+++ b/internal/fleet/planner/account.go
@@ -200,23 +200,33 @@
 // of a unit's account: that of the chain of units that ends with the unit, each of which
 // waited for the one before it. u may be nil.
 func (j *job) chainSpent(u *unit, until time.Time) cause.Spent {
-	var spent cause.Spent
-	begin, before := until, &j.before
-	for ; u != nil && !u.ledger.Begun().IsZero(); u = u.lastDependency() {
-		parts := u.ledger.SpentAt(until)
-		spent.Add(&parts)
-		begin = u.ledger.Begun()
-		if u.spentBefore != nil {
-			before = u.spentBefore
-			break
-		}
+	if u == nil || u.ledger.Begun().IsZero() {
+		return j.spentWith(&j.before, until)
 	}
+	spent, parts := u.spentUntilBegun(), u.ledger.SpentAt(until)
+	spent.Add(&parts)
+	return spent
+}
+
+// spentUntilBegun returns the time by cause from the job's acceptance until the unit's account
+// began.
+func (u *unit) spentUntilBegun() cause.Spent {
+	begun := u.ledger.Begun()
+	if u.spentBefore != nil {
+		return u.job.spentWith(u.spentBefore, begun)
+	}
+	return u.job.chainSpent(u.lastDependency(), begun)
+}
+
+// spentWith returns the time by cause until a time, of which before has the time until this
+// term had the job.
+func (j *job) spentWith(before *cause.Spent, until time.Time) cause.Spent {
 	rest := cause.Plan
 	if j.spec.Job.Occurrences > 0 {
 		rest = cause.NotDue
 	}
-	spent.Add(before)
-	spent[rest] += begin.Sub(j.takenAt)
+	spent := *before
+	spent[rest] += until.Sub(j.takenAt)
 	return spent
 }
 
--- a/internal/fleet/planner/history.go
+++ b/internal/fleet/planner/history.go
@@ -20,6 +20,15 @@
 type histories struct {
 	now  time.Time
 	list [][]int64
+	// until caches the time by cause until the accounts of a step's units began, which takes
+	// time in proportion to the units of the job.
+	until map[begunStep]cause.Spent
+}
+
+// begunStep identifies the units of a step whose accounts began at the same time.
+type begunStep struct {
+	stepKey
+	begun time.Time
 }
 
 // newHistories returns the times by cause of a job, beginning with its own; nil if it has
@@ -29,7 +38,7 @@
 		return nil
 	}
 	own := j.chainSpent(j.representative(), now)
-	return &histories{now, [][]int64{own.Encode()}}
+	return &histories{now: now, list: [][]int64{own.Encode()}, until: make(map[begunStep]cause.Spent)}
 }
 
 // representative returns the unit whose time by cause is that of the job: one that has begun to
@@ -54,7 +63,8 @@
 	if h == nil || u.done || u.ledger.Begun().IsZero() {
 		return 0
 	}
-	spent := u.job.chainSpent(u, h.now)
+	spent, parts := h.spentUntilBegun(u), u.ledger.SpentAt(h.now)
+	spent.Add(&parts)
 	pairs := spent.Encode()
 	for i, p := range h.list {
 		if slices.Equal(p, pairs) {
@@ -68,6 +78,19 @@
 	return len(h.list) - 1
 }
 
+func (h *histories) spentUntilBegun(u *unit) cause.Spent {
+	if u.spentBefore != nil {
+		return u.spentUntilBegun()
+	}
+	k := begunStep{u.stepKey(), u.ledger.Begun()}
+	spent, ok := h.until[k]
+	if !ok {
+		spent = u.spentUntilBegun()
+		h.until[k] = spent
+	}
+	return spent
+}
+
 // encoded returns the list for the record.
 func (h *histories) encoded() [][]int64 {
 	if h == nil {
--- a/internal/fleet/planner/record_size_test.go
+++ b/internal/fleet/planner/record_size_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/decide/cause"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
@@ -20,6 +22,7 @@
 		}
 		is := is.New(t)
 		rng := rand.New(rand.NewPCG(1, uint64(tasks)))
+		began := time.Now().Add(-time.Minute)
 		j := &job{id: "5c0e7a21d94b36f8", spec: &Spec{Job: model.Job{Steps: []model.Step{{Tasks: tasks}}}}, units: make(map[unitKey]*unit)}
 		j.createUnits(1)
 		worker := func() (id string, born int64, address string) {
@@ -28,6 +31,10 @@
 		}
 		for _, u := range j.unitList {
 			u.run = 3
+			// The time by cause is left out before the record outgrows the value.
+			u.stops, u.failures, u.failedWork = rng.IntN(5), 1, time.Duration(rng.Int64N(60e9))
+			u.ledger.Begin(cause.Plan, began)
+			u.ledger.Switch(cause.NoCapacity, began.Add(time.Duration(rng.Int64N(60e9))))
 			for k := range 2 {
 				id, born, address := worker()
 				u.losses = append(u.losses, LossRecord{Index: u.key.index, Run: int64(k + 1), Worker: id, Incarnation: born, Address: address, Rack: "r1-3", Crashed: true, Ran: 3e9})
