Read what arrived during a pause before closing late connections

Callers saw: nothing yet; found in review. After a pause of the process of 5 s or more, a body could be closed as silent although its bytes had arrived.

Cause: the check of late connections could run before their reads.

Evidence: go test -race ./internal/core/intake passes; no test of its own.

--- a/internal/core/intake/server.go
+++ b/internal/core/intake/server.go
@@ -115,12 +115,18 @@
 func (l *listener) sweep() {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-l.closed:
 			return
-		case now := <-ticker.C:
-			l.share.closeLate(now)
+		case <-ticker.C:
+			now := time.Now()
+			// After a pause of the process, what has arrived meanwhile is read first.
+			if now.Sub(last) < 2*sweepInterval {
+				l.share.closeLate(now)
+			}
+			last = now
 			l.share.report()
 		}
 	}
