Intake: keep short requests that have just begun

Callers saw: while clients flood a listener, an ordinary request could get 503 although the flood held nearly all of the share. Cause: among requests that make progress the lowest rate is closed first, and a short request that has just arrived has the lowest.

--- a/internal/core/intake/evict.go
+++ b/internal/core/intake/evict.go
@@ -22,6 +22,9 @@
 	classIdle = iota
 	classStalled
 	classProgressing
+	// classYoung requests began less than progressTime ago, so that their rate says
+	// nothing yet: a short request, which has received little, is about to run.
+	classYoung
 	// classNew connections hold nothing but their buffers.
 	classNew
 )
@@ -33,8 +36,8 @@
 	// share. Clients choose the account that they name, so it counts less than progress.
 	overAddress, overAccount bool
 	class                    int
-	// order is the rate of an unfinished request in bytes per second, and the negative age
-	// of other connections.
+	// order is the rate of an unfinished request in bytes per second, of a young one the
+	// negative memory that it holds, and the negative age of other connections.
 	order float64
 }
 
@@ -117,6 +120,8 @@
 		v.class, v.order = classNew, -age.Seconds()
 	case now.Sub(c.lastByte) >= progressTime:
 		v.class = classStalled
+	case age < progressTime:
+		v.class, v.order = classYoung, -float64(c.held)
 	}
 	return v
 }
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -122,8 +122,11 @@
 		add(&conn{state: header, since: at(2 * time.Second), lastByte: at(time.Second), received: 16000}),
 		add(&conn{state: body, since: at(5 * time.Second), lastByte: now, received: 50}),
 		add(&conn{state: body, since: at(time.Second), lastByte: now, received: 200000}),
+		add(&conn{state: header, since: at(100 * time.Millisecond), lastByte: now, received: 16000}),
+		add(&conn{state: header, since: now, lastByte: now, received: 100}),
 		add(&conn{state: header, since: now, lastByte: now}),
 	}
+	order[6].held = 300 << 10 // many header lines
 	runs := add(&conn{state: running, since: at(time.Minute)})
 	for i, c := range order {
 		s.mu.Lock()
