Intake: bound the bytes that wait in the kernel unread

Callers saw: on a VM whose clients send many bodies and stay, the process is killed, as bytes that have been received and not read count to the memory of the VM.

Cause: the receive buffer was set after a connection was accepted, at the callers' listener only. Until then, and at the other listeners, the kernel's own applies: 64 KiB at once, for each of up to 4,096 connections in the queue of a listener, and megabytes later. No budget covered it.

Change: the buffer is set on the listening socket, whose connections inherit it, and the length of its queue is set too. Buffer and queue follow from a share of 0.15 of the memory, divided like the other shares. The limit of the Go runtime goes from 0.75 to 0.7 of the memory. Peers get 0.4 of the budget instead of 0.25, as their buffers are bounded now.

Evidence: the floods now also count unread bytes, send all 800 connections at once, and send more kinds; a new test suspends the process during the flood, which shows the fault on a machine of any speed. One legal request at a time is served as before.

--- a/internal/control/daemon/daemon.go
+++ b/internal/control/daemon/daemon.go
@@ -19,7 +19,6 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/control/drain"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/job"
 	"github.com/dogwoodworks/dogwoodworks/internal/control/planner"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/pause"
@@ -158,7 +157,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed := make(chan error, 3)
-	if err := d.listen(failed); err != nil {
+	if err := d.serve(failed); err != nil {
 		return err
 	}
 	d.refreshTargets(background)
@@ -179,20 +178,6 @@
 	return d.drain()
 }
 
-func (d *Daemon) listen(failed chan<- error) error {
-	addresses := []string{d.settings.Listen.Callers, d.settings.Listen.Operators, d.settings.Listen.Peers}
-	listeners := make([]net.Listener, len(addresses))
-	for i, a := range addresses {
-		l, err := net.Listen("tcp", a)
-		if err != nil {
-			return fault.Wrap(fault.BadSettings, err, "listen on %s", a)
-		}
-		listeners[i] = l
-	}
-	d.serve(listeners, failed)
-	return nil
-}
-
 const (
 	loadRetryDelay = 500 * time.Millisecond
 	// firstListTimeout bounds the first read of the platform's VM list.
--- a/internal/control/daemon/intake.go
+++ b/internal/control/daemon/intake.go
@@ -6,8 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/jsonhttp"
 )
 
 const (
@@ -17,30 +17,47 @@
 
 	// The shares of the listeners. A member that leaves transfers its claims and records
 	// in one call of up to 64 MiB, which fits in the peers' share of the default memory.
-	callerShare   = 0.5
-	operatorShare = 0.1
-	peerShare     = 0.4
+	// Peers have few connections with large buffers.
+	callerShare     = 0.5
+	operatorShare   = 0.1
+	peerShare       = 0.4
+	peerConnections = 0.1
 )
 
-// serve serves the listeners for callers, operators and peers, in this order, within the
-// memory and descriptors of the process.
-func (d *Daemon) serve(listeners []net.Listener, failed chan<- error) {
+// serve opens and serves the listeners for callers, operators and peers within the memory
+// and descriptors of the process.
+func (d *Daemon) serve(failed chan<- error) error {
 	b := &intake.Budget{Memory: d.settings.Limits.Memory, Log: d.log, Meter: d.meter}
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
 		b.Descriptors = int(min(float64(files.Cur)*clientFiles, maxClientFiles))
 	}
 	b.SetRuntimeLimit()
-	share := func(name string, fraction float64) *intake.Share {
-		s := b.Share(name, fraction)
+	d.callers.Server.Handler, d.operators.Server.Handler = d.callers, d.operators
+	shares := []struct {
+		name, address       string
+		memory, descriptors float64
+		server              *http.Server
+	}{
+		{"callers", d.settings.Listen.Callers, callerShare, callerShare, d.callers.Server},
+		{"operators", d.settings.Listen.Operators, operatorShare, operatorShare, d.operators.Server},
+		{"peers", d.settings.Listen.Peers, peerShare, peerConnections, d.peers},
+	}
+	listeners := make([]net.Listener, len(shares))
+	for i, sh := range shares {
+		s := b.Share(sh.name, sh.memory, sh.descriptors)
 		s.BodyTime = func(*http.Request) time.Duration { return d.settings.Limits.ReadTimeout.Duration }
-		return s
+		s.Configure(sh.server)
+		l, err := s.Listen(sh.address)
+		if err != nil {
+			return fault.Wrap(fault.BadSettings, err, "listen on %s", sh.address)
+		}
+		listeners[i] = l
+	}
+	for i, sh := range shares {
+		go func() { failed <- sh.server.Serve(listeners[i]) }()
 	}
-	callers, operators, peers := share("callers", callerShare), share("operators", operatorShare), share("peers", peerShare)
-	peers.Configure(d.peers)
-	go func() { failed <- jsonhttp.ServeShare(d.callers, listeners[0], callers) }()
-	go func() { failed <- jsonhttp.ServeShare(d.operators, listeners[1], operators) }()
-	go func() { failed <- d.peers.Serve(peers.Listener(listeners[2])) }()
+	return nil
 }
 
 // maxClientFiles bounds the descriptors of clients if the process has no practical limit.
--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -26,8 +26,11 @@
 	bodyFactor = 2
 
 	// heapShare is the share of the process's memory that the Go runtime may use. The rest
-	// is for the program's text and the kernel's socket buffers.
-	heapShare = 0.75
+	// is for the program's text and unreadShare.
+	heapShare = 0.7
+	// unreadShare is the share of the process's memory for bytes that have been received and
+	// not read. They count to the memory of a VM.
+	unreadShare = 0.15
 	// clientShare is the share of the process's memory that clients may hold. The planner
 	// of 350 workers needs the rest of the heap.
 	clientShare = 0.2
@@ -52,23 +55,25 @@
 	}
 }
 
-// Share returns the share of one listener, as a fraction of the budget. The fractions of a
-// process add up to at most 1, so that the clients of one listener leave the others theirs.
-func (b *Budget) Share(name string, fraction float64) *Share {
+// Share returns the share of one listener: fractions of the budget's memory and of its
+// descriptors. The fractions of a process add up to at most 1, so that the clients of one
+// listener leave the others theirs.
+func (b *Budget) Share(name string, memory, descriptors float64) *Share {
 	s := &Share{
 		Name: name, maxHeld: math.MaxInt64, maxConns: math.MaxInt32, log: b.Log, meter: b.Meter,
 		conns: make(map[*conn]struct{}), causes: make(map[string]int64),
 	}
 	if b.Memory > 0 {
-		s.maxHeld = int64(float64(b.Memory) * clientShare * fraction)
+		s.maxHeld = int64(float64(b.Memory) * clientShare * memory)
 	}
 	if b.Descriptors > 0 {
-		s.maxConns = max(1, int(fraction*float64(b.Descriptors)))
+		s.maxConns = max(1, int(descriptors*float64(b.Descriptors)))
 	}
+	s.setBuffers(int64(float64(b.Memory) * unreadShare * memory))
 	return s
 }
 
-// Share is the share of one listener. The exported fields are set before Listener; zero
+// Share is the share of one listener. The exported fields are set before Listen; zero
 // fields select the defaults.
 type Share struct {
 	// Name is the listener's name in log lines and counters.
@@ -78,14 +83,15 @@
 	Account func(r *http.Request) string
 	// BodyTime returns the time in which the body of a request must arrive.
 	BodyTime func(r *http.Request) time.Duration
-	// ReceiveBuffer is the size of the kernel's receive buffer of a connection in bytes;
-	// 0 for the kernel's default. Unread bytes count to the memory of a VM.
-	ReceiveBuffer int
 
 	maxHeld  int64
 	maxConns int
-	log      *slog.Logger
-	meter    *meter.Meter
+	// queue is the largest number of connections that are not accepted yet.
+	queue int
+	// buffer is the kernel's receive buffer of a connection in bytes.
+	buffer int
+	log    *slog.Logger
+	meter  *meter.Meter
 
 	// mu guards the fields below and those of the connections.
 	mu    sync.Mutex
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -18,7 +18,7 @@
 
 // serve serves a share on loopback. The handler reads the body and answers its error.
 func serve(t *testing.T, s *Share) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := s.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,13 +29,13 @@
 		}
 	})}
 	s.Configure(server)
-	go func() { _ = server.Serve(s.Listener(l)) }()
+	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
 
 func newShare(memory int64, descriptors int) *Share {
-	return (&Budget{Memory: memory, Descriptors: descriptors, Log: slog.New(slog.DiscardHandler), Meter: &meter.Meter{}}).Share("callers", 1)
+	return (&Budget{Memory: memory, Descriptors: descriptors, Log: slog.New(slog.DiscardHandler), Meter: &meter.Meter{}}).Share("callers", 1, 1)
 }
 
 func send(t *testing.T, address, text string) net.Conn {
--- a/internal/core/intake/server.go
+++ b/internal/core/intake/server.go
@@ -24,8 +24,8 @@
 
 type connKey struct{}
 
-// Configure sets up a server whose handler is set, and which serves only Listener's
-// connections.
+// Configure sets up a server whose handler is set, and which serves only the connections
+// of the share's listener.
 func (s *Share) Configure(server *http.Server) {
 	h := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -42,13 +42,7 @@
 	}
 }
 
-// Listener returns a listener whose connections count to the share.
-func (s *Share) Listener(l net.Listener) net.Listener {
-	w := &listener{Listener: l, share: s, closed: make(chan struct{})}
-	go w.sweep()
-	return w
-}
-
+// listener counts the connections of a listener.
 type listener struct {
 	net.Listener
 	share  *Share
@@ -80,9 +74,6 @@
 
 // admit counts a new connection. It returns nil if there is no capacity for it.
 func (s *Share) admit(nc net.Conn) *conn {
-	if tcp, ok := nc.(*net.TCPConn); ok && s.ReceiveBuffer > 0 {
-		_ = tcp.SetReadBuffer(s.ReceiveBuffer)
-	}
 	now := time.Now()
 	c := &conn{Conn: nc, share: s, since: now, lastByte: now}
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
--- a/internal/core/jsonhttp/server.go
+++ b/internal/core/jsonhttp/server.go
@@ -16,7 +16,6 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
-	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/meter"
 )
 
@@ -77,18 +76,6 @@
 	return e
 }
 
-// ServeShare serves e on l until e is shut down, within a share of what the clients of the
-// process may hold.
-func ServeShare(e *echo.Echo, l net.Listener, s *intake.Share) error {
-	e.Server.Handler = e
-	s.Configure(e.Server)
-	err := e.Server.Serve(s.Listener(l))
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // Serve serves e on l until e is shut down.
 func Serve(e *echo.Echo, l net.Listener) error {
 	e.Server.Handler = e
--- a/internal/fleet/node/intake.go
+++ b/internal/fleet/node/intake.go
@@ -17,14 +17,10 @@
 
 	// The shares of the listeners. A burst of calls between 43 VMs takes hundreds of
 	// connections; the load balancer and the metrics collector use one or two each.
-	callerShare  = 0.6
-	peerShare    = 0.25
-	probeShare   = 0.075
-	metricsShare = 0.075
-
-	// callerBuffer is the kernel's receive buffer of a caller's connection in bytes. It is
-	// enough for 10 MB/s at the round trip of 6 ms to a caller.
-	callerBuffer = 64 << 10
+	callerShare  = 0.5
+	peerShare    = 0.4
+	probeShare   = 0.05
+	metricsShare = 0.05
 )
 
 // newBudget returns what the clients of the process may hold.
@@ -38,9 +34,8 @@
 
 // callers returns the share of the callers' listener.
 func (n *Node) callers(b *intake.Budget) *intake.Share {
-	s := b.Share("callers", callerShare)
+	s := b.Share("callers", callerShare, callerShare)
 	s.Account, s.BodyTime = n.Platform.CallerAccount, n.Platform.CallTimeout
-	s.ReceiveBuffer = callerBuffer
 	return s
 }
 
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -261,18 +261,18 @@
 		share   *intake.Share
 	}{
 		{n.Settings.CallerAddress, n.countCalls(n.callerAPI), n.callers(budget)},
-		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers, budget.Share("peers", peerShare)},
-		{n.Settings.ReadinessAddress, ready, budget.Share("readiness", probeShare)},
-		{n.Settings.MetricsAddress, metrics, budget.Share("metrics", metricsShare)},
+		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers, budget.Share("peers", peerShare, peerShare)},
+		{n.Settings.ReadinessAddress, ready, budget.Share("readiness", probeShare, probeShare)},
+		{n.Settings.MetricsAddress, metrics, budget.Share("metrics", metricsShare, metricsShare)},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := l.share.Listen(l.address)
 		if err != nil {
 			return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", l.address)
 		}
 		s := newServer(l.handler, l.share)
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(l.share.Listener(listener)); err != nil && !n.stopping.Load() {
+			if err := s.Serve(listener); err != nil && !n.stopping.Load() {
 				n.Log.Error("listener failed", "address", l.address, "error", err)
 			}
 		}()
--- a/internal/proof/flood/flood_test.go
+++ b/internal/proof/flood/flood_test.go
@@ -4,11 +4,8 @@
 package flood
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +29,10 @@
 	filesVariable = "DOGWOODWORKS_FLOOD_FILES"
 	// memoryMB and files are the memory and the descriptors of the daemon's settings.
 	memoryMB, files = 96, 512
+	// suspendedMemoryMB is the memory of a daemon that is suspended during a flood.
+	suspendedMemoryMB = 64
+	// platformFiles is the number of descriptors that the platform reserves for files.
+	platformFiles = 200
 	// connections is the number of connections of a flood.
 	connections = 800
 	// bodyBytes is the largest legal body of the platform's configuration.
@@ -40,6 +41,10 @@
 	tinyChunks = 64 << 10
 	// headerBytes is what a connection sends of a header of legal size.
 	headerBytes = 16000
+	// pieceBytes are sent every pieceDelay by the clients that send a body piece by piece.
+	pieceBytes, pieceDelay = 4000, 50 * time.Millisecond
+	// againTime is how long clients come again.
+	againTime = 6 * time.Second
 	// settleTime lets the daemon read what the flood has sent.
 	settleTime = 2 * time.Second
 	// answerTimeout bounds the retries of the ordinary request.
@@ -72,42 +77,79 @@
 	return b.String()
 }
 
-// kinds returns what the connections of each flood send; head is the start of a request
-// without the last empty line. Every request stops short of its end.
-func kinds(head string) map[string][]byte {
+// oddLines returns header lines with one name and blanks as values, up to size bytes.
+func oddLines(size int) string { return strings.Repeat("a: \t \r\n", size/len("a: \t \r\n")) }
+
+// flood is what each connection of a flood sends before it stays open.
+type flood struct {
+	request []byte
+	// piece is the number of bytes that are sent at a time, 0 for all, with a delay after
+	// each.
+	piece int
+	delay time.Duration
+	// again is how long each connection is closed and opened again once it has sent the
+	// request.
+	again time.Duration
+}
+
+// unfinished returns floods of requests that stop short of their end; head is the start
+// of a request without the last empty line.
+func unfinished(head string) map[string]flood {
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
-	return map[string][]byte{
-		"header_lines": []byte(head + headerLines(headerBytes-len(head))),
-		"bodies":       []byte(head + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1)),
-		"large_chunks": []byte(chunked + fmt.Sprintf("%x\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1)),
-		"tiny_chunks":  []byte(chunked + strings.Repeat("1\r\nx\r\n", tinyChunks)),
+	lines := []byte(head + headerLines(headerBytes-len(head)))
+	body := []byte(head + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1))
+	return map[string]flood{
+		"header_lines": {request: lines},
+		"odd_lines":    {request: []byte(head + oddLines(headerBytes-len(head)))},
+		"returning":    {request: lines, again: againTime},
+		"bodies":       {request: body},
+		"pieces":       {request: body, piece: pieceBytes, delay: pieceDelay},
+		"large_chunks": {request: []byte(chunked + fmt.Sprintf("%x\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1))},
+		"tiny_chunks":  {request: []byte(chunked + strings.Repeat("1\r\nx\r\n", tinyChunks))},
+	}
+}
+
+// complete returns floods of whole requests of which the clients read no answer; body is
+// that of an ordinary request, and costly one of the largest size.
+func complete(head string, body, costly []byte) map[string]flood {
+	withLength := func(b []byte) string { return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(b), b) }
+	ordinary := withLength(body)
+	refused := "GET /nowhere HTTP/1.1\r\nHost: nowhere\r\n\r\n"
+	return map[string]flood{
+		"pipelined":  {request: []byte(strings.Repeat(ordinary, bodyBytes/len(ordinary)))},
+		"no_request": {request: []byte(ordinary + strings.Repeat("x", bodyBytes))},
+		"decoded":    {request: []byte(withLength(costly))},
+		"refused":    {request: []byte(strings.Repeat(refused, bodyBytes/len(refused)))},
+		"trailers": {request: []byte(head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(body), body) +
+			headerLines(headerBytes-len(head)) + "\r\n")},
 	}
 }
 
-// send opens the connections of a flood, which stay open until the test ends.
-func send(t *testing.T, address string, request []byte) {
+// send opens the connections of a flood at once. They stay open until the test ends.
+func (f *flood) send(t *testing.T, address string) {
 	t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
 	var written, refused atomic.Int64
-	slots := make(chan struct{}, 100)
+	until := time.Now().Add(f.again)
 	for range connections {
-		slots <- struct{}{}
 		wg.Go(func() {
-			defer func() { <-slots }()
-			c, err := net.DialTimeout("tcp", address, 2*time.Second)
-			if err != nil {
-				refused.Add(1)
-				return
+			for first := true; first || time.Now().Before(until); first = false {
+				c, err := net.DialTimeout("tcp", address, 2*time.Second)
+				if err != nil {
+					refused.Add(1)
+					continue
+				}
+				written.Add(f.write(c))
+				if time.Now().Before(until) {
+					_ = c.Close()
+					continue
+				}
+				mu.Lock()
+				open = append(open, c)
+				mu.Unlock()
 			}
-			mu.Lock()
-			open = append(open, c)
-			mu.Unlock()
-			_ = c.SetWriteDeadline(time.Now().Add(3 * time.Second))
-			// The daemon may close the connection at any time.
-			n, _ := c.Write(request)
-			written.Add(int64(n))
 		})
 	}
 	wg.Wait()
@@ -119,77 +161,72 @@
 	t.Logf("%d connections open, %d refused, %d KB sent", len(open), refused.Load(), written.Load()>>10)
 }
 
-// usage samples the open descriptors of a process until stop is called.
-type usage struct {
-	pid  int
-	peak int
-	stop chan struct{}
-	done chan struct{}
-}
-
-func watch(pid int) *usage {
-	u := &usage{pid: pid, stop: make(chan struct{}), done: make(chan struct{})}
-	go func() {
-		defer close(u.done)
-		for {
-			if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
-				u.peak = max(u.peak, len(entries))
-			}
-			select {
-			case <-u.stop:
-				return
-			case <-time.After(20 * time.Millisecond):
-			}
+// write sends the request and returns the number of bytes that were sent. The daemon may
+// close the connection at any time.
+func (f *flood) write(c net.Conn) int64 {
+	var sent int64
+	for b := f.request; len(b) > 0; {
+		n := len(b)
+		if f.piece > 0 {
+			n = min(n, f.piece)
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(3 * time.Second))
+		written, err := c.Write(b[:n])
+		sent += int64(written)
+		if err != nil {
+			break
+		}
+		if b = b[n:]; len(b) > 0 {
+			time.Sleep(f.delay)
 		}
-	}()
-	return u
-}
-
-// check reports what the process used and whether it is within its settings.
-func (u *usage) check(t *testing.T) {
-	t.Helper()
-	close(u.stop)
-	<-u.done
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", u.pid))
-	if err != nil {
-		t.Fatalf("the process has ended: %v", err)
-	}
-	_, rest, found := strings.Cut(string(b), "VmHWM:")
-	fields := strings.Fields(rest)
-	if !found || len(fields) == 0 {
-		t.Fatal("the process has ended")
-	}
-	kb, err := strconv.Atoi(fields[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("peak: %d MB, %d descriptors", kb>>10, u.peak)
-	if kb > memoryMB<<10 {
-		t.Errorf("the process used %d MB; its settings have %d", kb>>10, memoryMB)
-	}
-	if u.peak > files {
-		t.Errorf("the process had %d descriptors; its settings have %d", u.peak, files)
 	}
+	return sent
 }
 
 // target is a daemon that a flood is sent to.
 type target struct {
 	pid int
+	ip  string
+	// memoryMB is the memory of the daemon's settings.
+	memoryMB int
+	// maxSockets is what the settings leave for sockets and pipes.
+	maxSockets int
 	// ordinary sends one ordinary request and returns the status of the answer.
 	ordinary func() (int, error)
 }
 
 // run sends one flood and checks the process.
-func (x *target) run(t *testing.T, address string, request []byte) {
+func (x *target) run(t *testing.T, address string, f flood) {
+	t.Helper()
+	x.awaitAnswer(t)
+	u := watch(x)
+	f.send(t, address)
+	time.Sleep(settleTime)
+	x.awaitAnswer(t)
+	u.check(t)
+}
+
+// runSuspended sends one flood while the process is suspended, so that nothing is read
+// until all has arrived.
+func (x *target) runSuspended(t *testing.T, address string, f flood) {
 	t.Helper()
 	x.awaitAnswer(t)
-	u := watch(x.pid)
-	send(t, address, request)
+	u := watch(x)
+	x.signal(t, syscall.SIGSTOP)
+	f.send(t, address)
+	x.signal(t, syscall.SIGCONT)
 	time.Sleep(settleTime)
 	x.awaitAnswer(t)
 	u.check(t)
 }
 
+func (x *target) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(x.pid, s); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // awaitAnswer retries an ordinary request, as callers do, until it is answered.
 func (x *target) awaitAnswer(t *testing.T) {
 	t.Helper()
@@ -202,58 +239,3 @@
 	}
 	t.Errorf("an ordinary request is not answered: status %d, error %v", status, err)
 }
-
-// piecewise is one request that is sent in pieces with a delay after each.
-type piecewise struct {
-	name    string
-	request []byte
-	piece   int
-	delay   time.Duration
-}
-
-// legal returns requests within the limits, built from head and body, each of which must
-// be served when there is no other load. large returns a body of a size.
-func legal(head string, body []byte, large func(size int) []byte) []piecewise {
-	length := func(b []byte) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", len(b)) }
-	var tiny bytes.Buffer
-	for _, c := range large(4 << 10) {
-		fmt.Fprintf(&tiny, "1\r\n%c\r\n", c)
-	}
-	lines := headerLines(15000)
-	full, slow := large(bodyBytes), large(8<<10)
-	return []piecewise{
-		{"header_lines", []byte(head + lines + length(body) + string(body)), 0, 0},
-		{"largest_body", append([]byte(head+length(full)), full...), 0, 0},
-		{"tiny_chunks", []byte(head + "Transfer-Encoding: chunked\r\n\r\n" + tiny.String() + "0\r\n\r\n"), 0, 0},
-		{"slow_header", []byte(head + lines + length(body) + string(body)), 800, 100 * time.Millisecond},
-		{"slow_body", append([]byte(head+length(slow)), slow...), 400, 100 * time.Millisecond},
-	}
-}
-
-func (p *piecewise) send(t *testing.T, address string) {
-	t.Helper()
-	c, err := net.DialTimeout("tcp", address, 2*time.Second)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	for b := p.request; len(b) > 0; time.Sleep(p.delay) {
-		n := len(b)
-		if p.piece > 0 {
-			n = min(n, p.piece)
-		}
-		if _, err := c.Write(b[:n]); err != nil {
-			t.Fatalf("write: %v", err)
-		}
-		b = b[n:]
-	}
-	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatalf("read: %v", err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d: %s", resp.StatusCode, b)
-	}
-}
--- a/internal/proof/flood/platform_test.go
+++ b/internal/proof/flood/platform_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -64,8 +65,15 @@
 	return []byte(job + strings.Repeat(" ", max(0, size-len(job))))
 }
 
-// startPlatform starts one daemon on the platform and returns its address.
-func startPlatform(t *testing.T) (*target, string) {
+// manySteps returns a job of the largest size with as many steps as fit in it.
+func manySteps() []byte {
+	const start, step, end = `{"specification":"x","steps":[`, `{},`, `{}]}`
+	return []byte(start + strings.Repeat(step, (bodyBytes-len(start+end))/len(step)) + end)
+}
+
+// startPlatform starts one daemon on the platform with the memory of its settings, and
+// returns its address.
+func startPlatform(t *testing.T, memoryMB int) (*target, string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -99,7 +107,7 @@
 	})
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	var submitted atomic.Int64
-	return &target{pid: cmd.Process.Pid, ordinary: func() (int, error) {
+	return &target{pid: cmd.Process.Pid, ip: ip, memoryMB: memoryMB, maxSockets: files - platformFiles, ordinary: func() (int, error) {
 		r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:18621/u/%016x", ip, 1000+submitted.Add(1)), bytes.NewReader(jobBody(0)))
 		if err != nil {
 			return 0, err
@@ -115,40 +123,64 @@
 	}}, ip
 }
 
+// platformListeners are the listeners of the platform's daemon, and the path of a request
+// to each but that of the callers.
+var platformListeners = []struct {
+	name string
+	port int
+	path string
+}{
+	{"callers", 18621, ""},
+	{"peers", 18624, "/dogwoodworks.node.v1.NodeService/SubmitJob"},
+	{"readiness", 18623, "/v1/readiness"},
+	{"metrics", 9464, "/metrics"},
+}
+
+// platformRequest returns the start of a request to a listener.
+func platformRequest(path string) string {
+	if path == "" {
+		return fmt.Sprintf(patientHead, "00000000000000ff")
+	}
+	return "POST " + path + " HTTP/1.1\r\nHost: vm\r\nContent-Type: application/proto\r\n"
+}
+
 // TestPlatformSurvivesFlood guards against a process that runs out of memory or
-// descriptors because of requests that never end, at any of its listeners.
+// descriptors because of requests that never end or cost much, at any of its listeners.
 func TestPlatformSurvivesFlood(t *testing.T) {
-	for _, l := range []struct {
-		name string
-		port int
-		path string
-		all  bool
-	}{
-		{"callers", 18621, "", true},
-		{"peers", 18624, "/dogwoodworks.node.v1.NodeService/SubmitJob", false},
-		{"readiness", 18623, "/v1/readiness", false},
-		{"metrics", 9464, "/metrics", false},
-	} {
-		head := fmt.Sprintf(patientHead, "00000000000000ff")
-		if l.path != "" {
-			head = "POST " + l.path + " HTTP/1.1\r\nHost: vm\r\nContent-Type: application/proto\r\n"
+	for _, l := range platformListeners {
+		head := platformRequest(l.path)
+		floods := unfinished(head)
+		if l.path == "" {
+			maps.Copy(floods, complete(head, jobBody(0), manySteps()))
 		}
-		for kind, request := range kinds(head) {
-			if !l.all && kind != "header_lines" && kind != "bodies" {
+		for kind, f := range floods {
+			if l.path != "" && kind != "header_lines" && kind != "bodies" {
 				continue
 			}
 			t.Run(l.name+"/"+kind, func(t *testing.T) {
-				x, ip := startPlatform(t)
-				x.run(t, fmt.Sprintf("%s:%d", ip, l.port), request)
+				x, ip := startPlatform(t, memoryMB)
+				x.run(t, fmt.Sprintf("%s:%d", ip, l.port), f)
 			})
 		}
 	}
 }
 
+// TestSuspendedPlatformSurvivesFlood guards against memory that the kernel takes for
+// clients while the process reads nothing: bytes that have not been read count to the
+// memory of a VM.
+func TestSuspendedPlatformSurvivesFlood(t *testing.T) {
+	for _, l := range platformListeners {
+		t.Run(l.name, func(t *testing.T) {
+			x, ip := startPlatform(t, suspendedMemoryMB)
+			x.runSuspended(t, fmt.Sprintf("%s:%d", ip, l.port), unfinished(platformRequest(l.path))["bodies"])
+		})
+	}
+}
+
 // TestPlatformServesLegalRequest guards against limits that refuse a request within the
 // limits when there is no other load.
 func TestPlatformServesLegalRequest(t *testing.T) {
-	x, ip := startPlatform(t)
+	x, ip := startPlatform(t, memoryMB)
 	x.awaitAnswer(t)
 	for i, p := range legal(platformHead, jobBody(0), jobBody) {
 		t.Run(p.name, func(t *testing.T) {
--- a/internal/proof/flood/product_test.go
+++ b/internal/proof/flood/product_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -30,9 +31,9 @@
 	productHead = "POST /v1/requests HTTP/1.1\r\nHost: vm\r\nContent-Type: application/json\r\n"
 )
 
-// startProduct starts one of the product's own daemons, with memory and descriptors of
-// the flood's settings.
-func startProduct(t *testing.T) (*target, *fleet.Daemon) {
+// startProduct starts one of the product's own daemons, with the memory and descriptors of
+// its settings.
+func startProduct(t *testing.T, memoryMB int) (*target, *fleet.Daemon) {
 	t.Helper()
 	t.Setenv("DOGWOODD_LIMITS_MEMORY", fmt.Sprint(memoryMB<<20))
 	t.Setenv(filesVariable, fmt.Sprint(files))
@@ -42,7 +43,7 @@
 	})
 	d := f.Daemons["a"]
 	var n atomic.Int64
-	return &target{pid: d.PID(), ordinary: func() (int, error) {
+	return &target{pid: d.PID(), ip: d.IP, memoryMB: memoryMB, maxSockets: files, ordinary: func() (int, error) {
 		if outcome := callers.Send(d.CallerAddress, "guild", "check", n.Add(1)); outcome != callers.Answered {
 			return 0, fmt.Errorf("outcome %s", outcome)
 		}
@@ -50,46 +51,75 @@
 	}}, d
 }
 
+// productListeners are the listeners of the product's daemon, and the start of a request to
+// each.
+var productListeners = []struct {
+	name, head string
+	address    func(d *fleet.Daemon) string
+}{
+	{"callers", productHead, func(d *fleet.Daemon) string { return d.CallerAddress }},
+	{
+		"operators", "POST /v1/config HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer test-token\r\n",
+		func(d *fleet.Daemon) string { return d.OperatorAddress },
+	},
+	{
+		"peers", "POST /dogwoodworks.peer.v1.PeerService/FetchConfig HTTP/1.1\r\nHost: vm\r\nContent-Type: application/proto\r\n",
+		func(d *fleet.Daemon) string { return d.PeerListener },
+	},
+}
+
 // TestProductSurvivesFlood guards against a process that runs out of memory or
-// descriptors because of requests that never end, at any of its listeners.
+// descriptors because of requests that never end or cost much, at any of its listeners.
 func TestProductSurvivesFlood(t *testing.T) {
-	for _, l := range []struct{ name, head string }{
-		{"callers", productHead},
-		{"operators", "POST /v1/config HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer test-token\r\n"},
-		{"peers", "POST /dogwoodworks.peer.v1.PeerService/FetchConfig HTTP/1.1\r\nHost: vm\r\nContent-Type: application/proto\r\n"},
-	} {
-		for kind, request := range kinds(l.head) {
+	for _, l := range productListeners {
+		floods := unfinished(l.head)
+		if l.name == "callers" {
+			maps.Copy(floods, complete(l.head, requestBody(0), requestBody(bodyBytes)))
+		}
+		for kind, f := range floods {
 			if l.name != "callers" && kind != "header_lines" && kind != "bodies" {
 				continue
 			}
 			t.Run(l.name+"/"+kind, func(t *testing.T) {
-				x, d := startProduct(t)
-				address := map[string]string{"callers": d.CallerAddress, "operators": d.OperatorAddress, "peers": d.PeerListener}[l.name]
-				x.run(t, address, request)
+				x, d := startProduct(t, memoryMB)
+				x.run(t, l.address(d), f)
 			})
 		}
 	}
 }
 
+// TestSuspendedProductSurvivesFlood guards against memory that the kernel takes for clients
+// while the process reads nothing.
+func TestSuspendedProductSurvivesFlood(t *testing.T) {
+	for _, l := range productListeners {
+		t.Run(l.name, func(t *testing.T) {
+			x, d := startProduct(t, suspendedMemoryMB)
+			x.runSuspended(t, l.address(d), unfinished(l.head)["bodies"])
+		})
+	}
+}
+
+// requestBody returns a request whose encoding has a size, or the smallest one.
+func requestBody(size int) []byte {
+	encode := func(n int) []byte {
+		b, err := json.Marshal(caller.RequestBody{Account: "guild", Kind: "check", Payload: []byte(strings.Repeat("x", n))})
+		if err != nil {
+			panic(err)
+		}
+		return b
+	}
+	if n := (size - len(encode(0))) / 4 * 3; n > 0 {
+		return encode(n)
+	}
+	return encode(3)
+}
+
 // TestProductServesLegalRequest guards against limits that refuse a request within the
 // limits when there is no other load.
 func TestProductServesLegalRequest(t *testing.T) {
-	x, d := startProduct(t)
+	x, d := startProduct(t, memoryMB)
 	x.awaitAnswer(t)
-	body := func(size int) []byte {
-		encode := func(n int) []byte {
-			b, err := json.Marshal(caller.RequestBody{Account: "guild", Kind: "check", Payload: []byte(strings.Repeat("x", n))})
-			if err != nil {
-				panic(err)
-			}
-			return b
-		}
-		if n := (size - len(encode(0))) / 4 * 3; n > 0 {
-			return encode(n)
-		}
-		return encode(3)
-	}
-	for i, p := range legal(productHead+caller.HeaderKey+": key %s\r\n", body(0), body) {
+	for i, p := range legal(productHead+caller.HeaderKey+": key %s\r\n", requestBody(0), requestBody) {
 		t.Run(p.name, func(t *testing.T) {
 			p.request = []byte(strings.Replace(string(p.request), "%s", fmt.Sprintf("legal%d", i), 1))
 			p.send(t, d.CallerAddress)
