--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -190,8 +190,8 @@
 	maxSpecification = 4000
 	// maxTasks bounds the tasks of a step.
 	maxTasks = 2000
-	// maxSteps bounds the steps of a job.
-	maxSteps = 64
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 64
 	// maxOccurrences bounds the occurrences of a timed job.
 	maxOccurrences = 10_000
 )
@@ -205,8 +205,8 @@
 	switch {
 	case len(j.Specification) > maxSpecification:
 		return invalid("specification", "has %d bytes, at most %d are accepted", len(j.Specification), maxSpecification)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return invalid("steps", "%d given, 1 to %d are accepted", len(j.Steps), maxSteps)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return invalid("steps", "%d given, 1 to %d are accepted", len(j.Steps), MaxSteps)
 	case j.Occurrences < 0 || j.Occurrences > maxOccurrences:
 		return invalid("repetitions", "%d given, 0 to %d are accepted", j.Occurrences, maxOccurrences)
 	case j.Interval < 0:
