Divide the sockets of a VM among clients, calls and workers

Callers saw: while a crowd submits jobs, the planner's VM runs out of descriptors; calls of the store, starts and lease renewals fail.

Cause: clients had 0.4 of the descriptors and idle connections to workers 0.6, so nothing was left for the connections that calls open to the store and to peers, for busy connections to workers, and for those that the server is still closing. None of these was bounded.

Change: the settings give the number of sockets.

--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -25,6 +25,10 @@
 	// buffers that grow up to twofold, and keep the decoded body for a while.
 	bodyFactor = 2
 
+	// openShare is the share of the connections whose reads don't fail. The server closes the
+	// others within a second.
+	openShare = 0.67
+
 	// heapShare is the share of the process's memory that the Go runtime may use. The rest
 	// is for the program's text and unreadShare.
 	heapShare = 0.7
@@ -60,16 +64,17 @@
 // listener leave the others theirs.
 func (b *Budget) Share(name string, memory, descriptors float64) *Share {
 	s := &Share{
-		Name: name, maxHeld: math.MaxInt64, maxConns: math.MaxInt32, log: b.Log, meter: b.Meter,
+		Name: name, maxHeld: math.MaxInt64, maxConns: math.MaxInt32, maxOpen: math.MaxInt32, log: b.Log, meter: b.Meter,
 		conns: make(map[*conn]struct{}), causes: make(map[string]int64),
 	}
 	if b.Memory > 0 {
 		s.maxHeld = int64(float64(b.Memory) * clientShare * memory)
 	}
 	if b.Descriptors > 0 {
-		s.maxConns = max(1, int(descriptors*float64(b.Descriptors)))
+		s.maxConns = max(2, int(descriptors*float64(b.Descriptors)))
 	}
 	s.setBuffers(int64(float64(b.Memory) * unreadShare * memory))
+	s.maxOpen = max(1, int(openShare*float64(s.maxConns)))
 	return s
 }
 
@@ -84,8 +89,9 @@
 	// BodyTime returns the time in which the body of a request must arrive.
 	BodyTime func(r *http.Request) time.Duration
 
-	maxHeld  int64
-	maxConns int
+	maxHeld int64
+	// maxConns bounds the connections, and maxOpen those whose reads don't fail.
+	maxConns, maxOpen int
 	// queue is the largest number of connections that are not accepted yet.
 	queue int
 	// buffer is the kernel's receive buffer of a connection in bytes.
--- a/internal/core/intake/server.go
+++ b/internal/core/intake/server.go
@@ -82,11 +82,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open() >= s.maxConns {
-		s.evict(causeConnections, now, func() bool { return s.open() < s.maxConns-s.maxConns/evictMargin })
+	if s.open() >= s.maxOpen {
+		s.evict(causeConnections, now, func() bool { return s.open() < s.maxOpen-s.maxOpen/evictMargin })
 	}
-	// Connections whose reads fail still have descriptors, until the server closes them.
-	if s.open() >= s.maxConns || len(s.conns) >= 2*s.maxConns {
+	if s.open() >= s.maxOpen || len(s.conns) >= s.maxConns {
 		s.causes[causeConnections]++
 		return nil
 	}
@@ -156,6 +155,6 @@
 	for cause, n := range closed {
 		s.meter.Add("intake_closed_"+cause, n)
 		s.log.Warn("connections closed", "listener", s.Name, "cause", cause, "closed", n, "connections", conns,
-			"max_connections", s.maxConns, "held_bytes", held, "max_held_bytes", s.maxHeld)
+			"max_connections", s.maxOpen, "held_bytes", held, "max_held_bytes", s.maxHeld)
 	}
 }
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -82,9 +82,13 @@
 	// together; 0 if the platform specifies none. VMs returns the number of VMs; nil for one.
 	StoreWrites float64
 	VMs         func() int
-	Log         *slog.Logger
-	Meter       *meter.Meter
+	// MaxCalls bounds the calls in progress, with notifications of the planner; 0 for no
+	// bound.
+	MaxCalls int
+	Log      *slog.Logger
+	Meter    *meter.Meter
 
+	calls       callLimit
 	withdrawals withdrawalLimit
 
 	mu      sync.Mutex
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -37,6 +37,15 @@
 // outcome "not run" when the job is not and can't become persisted, and an error of
 // kind AnswerLost when it may be.
 func (js *JobService) Submit(ctx context.Context, t Target, j model.Job) error {
+	end, err := js.begin()
+	if err != nil {
+		return err
+	}
+	defer end()
+	return js.submit(ctx, t, j)
+}
+
+func (js *JobService) submit(ctx context.Context, t Target, j model.Job) error {
 	began := time.Now()
 	if t.JobID == "" {
 		return fault.WithField(fault.BadRequest, "id", "is missing")
@@ -265,8 +274,13 @@
 // notify notifies the planner of a persisted change. The planner reads the store as
 // well, so a failure only delays the change.
 func (js *JobService) notify(ctx context.Context, call func(ctx context.Context) error) {
+	end, err := js.begin()
+	if err != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
 	go func() {
+		defer end()
 		defer cancel()
 		if err := call(ctx); err != nil {
 			js.Meter.Inc("tell_failed")
@@ -277,6 +291,15 @@
 // State returns the state of a job from the planner, or from the store if the planner
 // can't be reached or does not have the job.
 func (js *JobService) State(ctx context.Context, t Target) (model.JobState, error) {
+	end, err := js.begin()
+	if err != nil {
+		return "", err
+	}
+	defer end()
+	return js.state(ctx, t)
+}
+
+func (js *JobService) state(ctx context.Context, t Target) (model.JobState, error) {
 	began := time.Now()
 	defer func() { js.Meter.Time("state_time", time.Since(began)) }()
 	ctx, end := withAnswerReserve(ctx)
@@ -344,7 +367,12 @@
 	if t.JobID == "" {
 		return fault.WithField(fault.BadRequest, "id", "is missing")
 	}
-	_, err := js.State(ctx, t)
+	end, err := js.begin()
+	if err != nil {
+		return err
+	}
+	defer end()
+	_, err = js.state(ctx, t)
 	if fault.Is(err, fault.JobUnknown) {
 		err = js.withdraw(ctx, t, err)
 	}
@@ -378,6 +406,11 @@
 
 // Pending returns the number of a queue's jobs of which no task has started.
 func (js *JobService) Pending(ctx context.Context, t Target) (int64, error) {
+	end, err := js.begin()
+	if err != nil {
+		return 0, err
+	}
+	defer end()
 	ctx, cancel := withAnswerReserve(ctx)
 	defer cancel()
 	for {
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -28,8 +28,8 @@
 	Bounds      Bounds
 	// Cores is the CPU share of the VM in cores.
 	Cores float64
-	// MaxFileDescriptors bounds the file descriptors of the process; 0 for no bound.
-	MaxFileDescriptors int
+	// MaxSockets bounds the sockets and pipes of the process; 0 for no bound.
+	MaxSockets int
 	// MemoryBytes is the memory of the VM; 0 for no bound.
 	MemoryBytes int64
 	// Disabled are the mechanisms that are switched off for an experiment.
--- a/internal/fleet/node/intake.go
+++ b/internal/fleet/node/intake.go
@@ -7,13 +7,14 @@
 )
 
 const (
-	// fileReserve is the number of descriptors for files.
-	fileReserve = 200
-	// clientFiles is the share of the descriptors that clients and peers may use: the
-	// pool of connections to workers keeps up to 0.6 of them open.
-	clientFiles = 0.4
-	// minClientFiles is that share when few descriptors are left after fileReserve.
-	minClientFiles = 0.25
+	// clientSockets and callSockets are the shares of the sockets that the connections of
+	// clients and of other daemons, and those that their calls need, may use. Connections to
+	// workers have another.
+	clientSockets = 0.3
+	callSockets   = 0.12
+	// callFanOut is the number of connections that one call needs: to the store, and beside
+	// it to two peers if the store does not respond.
+	callFanOut = 3
 
 	// The shares of the listeners. A burst of calls between 43 VMs takes hundreds of
 	// connections; the load balancer and the metrics collector use one or two each.
@@ -25,11 +26,17 @@
 
 // newBudget returns what the clients of the process may hold.
 func (n *Node) newBudget() *intake.Budget {
-	b := &intake.Budget{Memory: n.Settings.MemoryBytes, Log: n.Log, Meter: n.Meter}
-	if d := float64(n.Settings.MaxFileDescriptors); d > 0 {
-		b.Descriptors = int(max(d*clientFiles-fileReserve, d*minClientFiles))
+	return &intake.Budget{
+		Memory: n.Settings.MemoryBytes, Descriptors: int(float64(n.Settings.MaxSockets) * clientSockets), Log: n.Log, Meter: n.Meter,
 	}
-	return b
+}
+
+// maxCalls returns the largest number of calls in progress; 0 for no bound.
+func maxCalls(sockets int) int {
+	if sockets == 0 {
+		return 0
+	}
+	return max(1, int(float64(sockets)*callSockets/callFanOut))
 }
 
 // callers returns the share of the callers' listener.
--- a/internal/proof/flood/flood_test.go
+++ b/internal/proof/flood/flood_test.go
@@ -4,6 +4,7 @@
 package flood
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -90,15 +91,24 @@
 	// again is how long each connection is closed and opened again once it has sent the
 	// request.
 	again time.Duration
+	// answers says that an answer is read before the connection is closed.
+	answers bool
+	// numbered says that numberPlace in the request is replaced by another number in each
+	// connection.
+	numbered bool
+	sent     atomic.Int64
 }
 
+// numberPlace is where a numbered request has its number.
+const numberPlace = "00000000000000ff"
+
 // unfinished returns floods of requests that stop short of their end; head is the start
 // of a request without the last empty line.
-func unfinished(head string) map[string]flood {
+func unfinished(head string) map[string]*flood {
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
 	lines := []byte(head + headerLines(headerBytes-len(head)))
 	body := []byte(head + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1))
-	return map[string]flood{
+	return map[string]*flood{
 		"header_lines": {request: lines},
 		"odd_lines":    {request: []byte(head + oddLines(headerBytes-len(head)))},
 		"returning":    {request: lines, again: againTime},
@@ -111,11 +121,11 @@
 
 // complete returns floods of whole requests of which the clients read no answer; body is
 // that of an ordinary request, and costly one of the largest size.
-func complete(head string, body, costly []byte) map[string]flood {
+func complete(head string, body, costly []byte) map[string]*flood {
 	withLength := func(b []byte) string { return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(b), b) }
 	ordinary := withLength(body)
 	refused := "GET /nowhere HTTP/1.1\r\nHost: nowhere\r\n\r\n"
-	return map[string]flood{
+	return map[string]*flood{
 		"pipelined":  {request: []byte(strings.Repeat(ordinary, bodyBytes/len(ordinary)))},
 		"no_request": {request: []byte(ordinary + strings.Repeat("x", bodyBytes))},
 		"decoded":    {request: []byte(withLength(costly))},
@@ -165,7 +175,11 @@
 // close the connection at any time.
 func (f *flood) write(c net.Conn) int64 {
 	var sent int64
-	for b := f.request; len(b) > 0; {
+	b := f.request
+	if f.numbered {
+		b = bytes.Replace(b, []byte(numberPlace), fmt.Appendf(nil, "%016x", 1<<32+f.sent.Add(1)), 1)
+	}
+	for len(b) > 0 {
 		n := len(b)
 		if f.piece > 0 {
 			n = min(n, f.piece)
@@ -180,6 +194,10 @@
 			time.Sleep(f.delay)
 		}
 	}
+	if f.answers {
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		_, _ = c.Read(make([]byte, 1))
+	}
 	return sent
 }
 
@@ -196,7 +214,7 @@
 }
 
 // run sends one flood and checks the process.
-func (x *target) run(t *testing.T, address string, f flood) {
+func (x *target) run(t *testing.T, address string, f *flood) {
 	t.Helper()
 	x.awaitAnswer(t)
 	u := watch(x)
@@ -208,7 +226,7 @@
 
 // runSuspended sends one flood while the process is suspended, so that nothing is read
 // until all has arrived.
-func (x *target) runSuspended(t *testing.T, address string, f flood) {
+func (x *target) runSuspended(t *testing.T, address string, f *flood) {
 	t.Helper()
 	x.awaitAnswer(t)
 	u := watch(x)
--- a/internal/proof/flood/platform_test.go
+++ b/internal/proof/flood/platform_test.go
@@ -23,6 +23,9 @@
 
 var platformCount atomic.Int32
 
+// fewWorkers and manyWorkers are the numbers of workers of the platform.
+const fewWorkers, manyWorkers = 4, 100
+
 const (
 	platformHead     = "POST /u/%s HTTP/1.1\r\nHost: jobs.test\r\nX-Api-Key: k1\r\n"
 	patientHead      = platformHead + "X-Deadline-Milliseconds: 60000\r\n"
@@ -71,17 +74,21 @@
 	return []byte(start + strings.Repeat(step, (bodyBytes-len(start+end))/len(step)) + end)
 }
 
-// startPlatform starts one daemon on the platform with the memory of its settings, and
-// returns its address.
-func startPlatform(t *testing.T, memoryMB int) (*target, string) {
+// startPlatform starts one daemon on the platform with the memory of its settings and a
+// number of workers. It returns its address.
+func startPlatform(t *testing.T, memoryMB, workers int) (*target, string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	w := world.New(1, 4, world.Bounds{MaxLease: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second})
+	w := world.New(1, workers, world.Bounds{MaxLease: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second})
 	go w.Run(ctx)
 	platform := &wire.Wire{World: w, PageSize: 500}
 	t.Cleanup(platform.Close)
-	fatal(t, platform.Listen([]string{"w0", "w1", "w2", "w3"}))
+	ids := make([]string, workers)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%d", i)
+	}
+	fatal(t, platform.Listen(ids))
 	go func() { _ = platform.Heartbeats(ctx) }()
 	configuration, err := json.Marshal(object{
 		"version": 1, "services": []object{{"name": "svc"}}, "limits": object{"max_body_bytes": bodyBytes},
@@ -158,7 +165,7 @@
 				continue
 			}
 			t.Run(l.name+"/"+kind, func(t *testing.T) {
-				x, ip := startPlatform(t, memoryMB)
+				x, ip := startPlatform(t, memoryMB, fewWorkers)
 				x.run(t, fmt.Sprintf("%s:%d", ip, l.port), f)
 			})
 		}
@@ -171,7 +178,7 @@
 func TestSuspendedPlatformSurvivesFlood(t *testing.T) {
 	for _, l := range platformListeners {
 		t.Run(l.name, func(t *testing.T) {
-			x, ip := startPlatform(t, suspendedMemoryMB)
+			x, ip := startPlatform(t, suspendedMemoryMB, fewWorkers)
 			x.runSuspended(t, fmt.Sprintf("%s:%d", ip, l.port), unfinished(platformRequest(l.path))["bodies"])
 		})
 	}
@@ -180,7 +187,7 @@
 // TestPlatformServesLegalRequest guards against limits that refuse a request within the
 // limits when there is no other load.
 func TestPlatformServesLegalRequest(t *testing.T) {
-	x, ip := startPlatform(t, memoryMB)
+	x, ip := startPlatform(t, memoryMB, fewWorkers)
 	x.awaitAnswer(t)
 	for i, p := range legal(platformHead, jobBody(0), jobBody) {
 		t.Run(p.name, func(t *testing.T) {
@@ -189,3 +196,29 @@
 		})
 	}
 }
+
+// longNames returns a job of the largest size, most of which is the name of an image.
+func longNames() []byte {
+	const start, end = `{"specification":"x","steps":[{"count":1,"gpu":8,"image":"`, `"}]}`
+	return []byte(start + strings.Repeat("i", bodyBytes-len(start+end)) + end)
+}
+
+// manyTasks returns a job with as many tasks as the record of a job may have.
+func manyTasks() []byte {
+	const tasks = 1600
+	return []byte(`{"specification":"x","steps":[` + strings.Repeat(fmt.Sprintf(`{"count":%d,"gpu":1,"estimated_ms":300},`, tasks), 9) + `{"count":1,"gpu":1}]}`)
+}
+
+// TestPlannerSurvivesJobs guards against a planner that runs out of memory or descriptors
+// because of the jobs that were accepted.
+func TestPlannerSurvivesJobs(t *testing.T) {
+	head := platformRequest("")
+	for kind, job := range map[string][]byte{"names": longNames(), "tasks": manyTasks(), "ordinary": jobBody(0)} {
+		t.Run(kind, func(t *testing.T) {
+			x, ip := startPlatform(t, memoryMB, manyWorkers)
+			x.run(t, ip+":18621", &flood{
+				request: []byte(head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(job), job)), numbered: true, answers: true, again: againTime,
+			})
+		})
+	}
+}
