Intake: leave room for the program's text in the runtime's limit

Callers saw: nothing yet; a process with 96 MB whose heap reaches the runtime's limit takes 85 to 93 MB with its text of 18 MB and 4 MB unread, so that little is missing.

Cause: the limit was a share of the memory, but the text has one size on all VMs.

Change: 24 MB and the share for unread bytes are left, at least 0.4 of the memory is heap. From 160 MB on, the limit is 0.7 as before.

--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -29,9 +29,12 @@
 	// others within a second.
 	openShare = 0.67
 
-	// heapShare is the share of the process's memory that the Go runtime may use. The rest
-	// is for the program's text and unreadShare.
-	heapShare = 0.7
+	// heapShare is the share of the process's memory that the Go runtime may use, and
+	// minHeapShare that with little memory. The rest is for the program's text, which takes
+	// textMemory, and for unreadShare.
+	heapShare    = 0.7
+	minHeapShare = 0.4
+	textMemory   = 24 << 20
 	// unreadShare is the share of the process's memory for bytes that have been received and
 	// not read. They count to the memory of a VM.
 	unreadShare = 0.15
@@ -53,7 +56,8 @@
 
 // SetRuntimeLimit sets the memory limit of the Go runtime, unless a lower one is set.
 func (b *Budget) SetRuntimeLimit() {
-	limit := int64(float64(b.Memory) * heapShare)
+	memory := float64(b.Memory)
+	limit := int64(max(minHeapShare*memory, min(heapShare*memory, (1-unreadShare)*memory-textMemory)))
 	if b.Memory > 0 && limit < debug.SetMemoryLimit(-1) {
 		debug.SetMemoryLimit(limit)
 	}
