Bound the memory of accepted jobs at the planner

Callers saw: after a crowd has submitted jobs with many tasks or long names, the planner's process ends, and so does each that takes over, as it reads the same jobs.

Cause: the planner holds a unit of 1 KB for every task of every accepted job, and all texts, until minutes after the job's end. A job of 500 bytes may have 14,401 tasks.

Change: what a job takes at the planner follows from its submission. The planner reports the sum, by account, and its limit, 0.3 of the VM's memory; a VM refuses a job that does not fit before it is stored, with 503 and Retry-After. The VMs share what is free until the next summary. An account that has jobs leaves as much free as it takes. Jobs that have ended release their units and texts once the store has their state. Why it works: what the planner reads was accepted within its limit, whichever VM accepted it.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -82,6 +82,9 @@
 	// together; 0 if the platform specifies none. VMs returns the number of VMs; nil for one.
 	StoreWrites float64
 	VMs         func() int
+	// MaxJobMemory is the memory in bytes that the jobs may take at the planner, until the
+	// planner says it; 0 for no bound.
+	MaxJobMemory int64
 	// MaxCalls bounds the calls in progress, with notifications of the planner; 0 for no
 	// bound.
 	MaxCalls int
@@ -89,6 +92,7 @@
 	Meter    *meter.Meter
 
 	calls       callLimit
+	memory      memoryLimit
 	withdrawals withdrawalLimit
 
 	mu      sync.Mutex
--- a/internal/fleet/entry/jobs.go
+++ b/internal/fleet/entry/jobs.go
@@ -59,6 +59,12 @@
 	if err := js.checkFits(&t, &j); err != nil {
 		return err
 	}
+	memory, err := js.reserveMemory(ctx, &t, &j)
+	if err != nil {
+		return err
+	}
+	stored := false
+	defer func() { js.memory.end(memory, stored) }()
 	s := planner.Spec{Job: j, Queue: t.Queue, Account: t.Account, AcceptedMS: time.Now().UnixMilli(), ConfigVersion: t.Version}
 	value, err := s.Encode()
 	if err != nil {
@@ -71,6 +77,7 @@
 		Conditions: []store.Condition{{Key: store.SpecKey(j.ID)}, {Key: store.WithdrawnKey(j.ID)}},
 		Puts:       []store.Put{{Key: store.SpecKey(j.ID), Value: value}},
 	})
+	stored = err == nil && existing == nil || fault.Is(err, fault.AnswerLost)
 	switch {
 	case err != nil:
 		return err
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -253,6 +253,10 @@
 	Pending map[string]int64
 	// WorkerClasses has the classes of workers.
 	WorkerClasses []WorkerClass
+	// JobMemory is the memory in bytes that the jobs take at the planner, and MaxJobMemory
+	// what they may take; 0 for no bound. AccountMemory has the former by account.
+	JobMemory, MaxJobMemory int64
+	AccountMemory           map[string]int64
 }
 
 // WorkerClass is the capacity of a kind of worker of a service.
--- a/internal/fleet/node/intake.go
+++ b/internal/fleet/node/intake.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// jobMemory is the share of the memory that the accepted jobs may take at the planner.
+const jobMemory = 0.3
+
+// maxJobMemory returns what the accepted jobs may take at the planner of a VM; 0 for no
+// bound.
+func maxJobMemory(memory int64) int64 { return int64(jobMemory * float64(memory)) }
+
 // maxCalls returns the largest number of calls in progress; 0 for no bound.
 func maxCalls(sockets int) int {
 	if sockets == 0 {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -106,12 +106,12 @@
 	n.planner = &planner.Planner{
 		Store: p.Store, Config: n.follower, WorkerPrefix: p.WorkerPrefix, DecodeWorker: p.DecodeWorker, Dial: p.Dial,
 		EvacuationPrefix: p.EvacuationPrefix, DecodeEvacuation: p.DecodeEvacuation,
-		Bounds: s.Bounds, Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
+		Bounds: s.Bounds, MaxJobMemory: maxJobMemory(s.MemoryBytes), Disabled: s.Disabled, Log: n.Log, Meter: n.Meter,
 	}
 	n.health = &health{log: n.Log, meter: n.Meter, notReady: n.notReady}
 	n.jobService = &entry.JobService{
 		Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes,
-		StoreWrites: s.StoreWrites, VMs: func() int { return n.peers.Count() + 1 }, MaxCalls: maxCalls(s.MaxSockets), Log: n.Log, Meter: n.Meter,
+		StoreWrites: s.StoreWrites, VMs: func() int { return n.peers.Count() + 1 }, MaxCalls: maxCalls(s.MaxSockets), MaxJobMemory: maxJobMemory(s.MemoryBytes), Log: n.Log, Meter: n.Meter,
 	}
 }
 
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -15,7 +15,7 @@
 		return
 	}
 	j := &job{
-		id: s.Job.ID, spec: s, queue: s.Queue, units: make(map[unitKey]*unit),
+		id: s.Job.ID, spec: s, queue: s.Queue, units: make(map[unitKey]*unit), memory: JobMemory(&s.Job),
 	}
 	t.recordArrival(j, source)
 	if s.Job.Occurrences == 0 {
--- a/internal/fleet/planner/load.go
+++ b/internal/fleet/planner/load.go
@@ -49,7 +49,7 @@
 			withoutResponse++
 		}
 	}
-	t.p.Log.Info("planner load", "term", t.revision, "jobs", len(t.live), "known", len(t.jobs), "workers", len(t.workers), "unheard", withoutResponse,
+	t.p.Log.Info("planner load", "term", t.revision, "jobs", len(t.live), "known", len(t.jobs), "job_memory_kb", t.jobMemory()>>10, "workers", len(t.workers), "unheard", withoutResponse,
 		"units_waiting", waiting, "tasks_placed", placed, "behind", len(t.unwrittenJobs), "unacked_workers", len(t.unacked),
 		"writes", recent.writes, "rows", recent.rows, "looks", recent.passes, "look_ms", recent.passTime.Milliseconds(), "longest_look_ms", recent.longestPass.Milliseconds())
 }
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -42,8 +42,11 @@
 	// returns false.
 	Dial   func(id, address string, maySend func() bool) WorkerClient
 	Bounds model.Bounds
-	Log    *slog.Logger
-	Meter  *meter.Meter
+	// MaxJobMemory bounds the memory in bytes of the accepted jobs; 0 for no bound. The VMs
+	// that accept jobs read it from the summary.
+	MaxJobMemory int64
+	Log          *slog.Logger
+	Meter        *meter.Meter
 	// Disabled are the mechanisms that are switched off for an experiment.
 	Disabled policy.Disabled
 	// Decide selects the placements of the waiting units; the default is placement.Plan.
@@ -262,8 +265,8 @@
 	return model.Queued
 }
 
-// Summary returns the number of pending jobs by queue and the worker classes, for the VMs
-// that accept jobs.
+// Summary returns the number of pending jobs by queue, the worker classes and the memory of
+// the jobs, for the VMs that accept jobs.
 func (p *Planner) Summary(ctx context.Context) (model.PlannerSummary, error) {
 	t, err := p.currentTerm()
 	if err != nil {
@@ -280,6 +283,7 @@
 		}
 	}
 	summary.WorkerClasses = t.sizes.classes()
+	t.addMemory(&summary)
 	return summary, nil
 }
 
--- a/internal/fleet/planner/retire.go
+++ b/internal/fleet/planner/retire.go
@@ -36,7 +36,7 @@
 	}
 	var expired []*job
 	for _, j := range t.jobs {
-		if j.ended() && j.persisted && !j.unwritten && !j.writing && !j.hasMembers() && now.Sub(time.UnixMilli(j.endedMS)) > retention {
+		if j.isFinal() && now.Sub(time.UnixMilli(j.endedMS)) > retention {
 			expired = append(expired, j)
 		}
 	}
@@ -44,6 +44,12 @@
 	return expired[:min(len(expired), maxRemovals)]
 }
 
+// isFinal reports whether the job has ended, the store has its state, and no run of it is
+// left.
+func (j *job) isFinal() bool {
+	return j.ended() && j.persisted && !j.unwritten && !j.writing && !j.hasMembers()
+}
+
 func (j *job) hasMembers() bool {
 	for _, u := range j.unitList {
 		if len(u.members) > 0 {
@@ -57,6 +63,7 @@
 // ends. It keeps up with the jobs that arrive: a term begins by reading all records.
 func (t *term) removeExpiredPeriodically() {
 	for pause.For(t.ctx, removalInterval) {
+		t.locked(t.compactEnded)
 		for t.removeExpired() && pause.For(t.ctx, removalPause) {
 		}
 	}
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -23,6 +23,9 @@
 type job struct {
 	id   string
 	spec *Spec
+	// memory is the result of JobMemory, less once the job is compacted.
+	memory    int64
+	compacted bool
 	// queue is the job's queue in the current configuration, or in the last one that had
 	// it.
 	queue     model.Queue
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -186,6 +186,9 @@
 		t.restoreUnit(j, x)
 	}
 	j.restoreHistory(r)
+	if j.isFinal() {
+		j.compact()
+	}
 }
 
 func (t *term) restoreUnit(j *job, rec UnitRecord) {
--- a/internal/peer/vm/remote.go
+++ b/internal/peer/vm/remote.go
@@ -43,7 +43,9 @@
 	if err != nil {
 		return model.PlannerSummary{}, err
 	}
-	summary := model.PlannerSummary{Pending: resp.GetPending()}
+	summary := model.PlannerSummary{
+		Pending: resp.GetPending(), JobMemory: resp.GetJobMemory(), MaxJobMemory: resp.GetMaxJobMemory(), AccountMemory: resp.GetAccountMemory(),
+	}
 	for _, class := range resp.GetRooms() {
 		summary.WorkerClasses = append(summary.WorkerClasses, model.WorkerClass{
 			Service:  class.GetService(),
--- a/internal/peer/vm/serve.go
+++ b/internal/peer/vm/serve.go
@@ -85,7 +85,9 @@
 	if err != nil {
 		return nil, plannerError(err)
 	}
-	resp := &nodev1.DigestResponse{Pending: summary.Pending}
+	resp := &nodev1.DigestResponse{
+		Pending: summary.Pending, JobMemory: summary.JobMemory, MaxJobMemory: summary.MaxJobMemory, AccountMemory: summary.AccountMemory,
+	}
 	for _, class := range summary.WorkerClasses {
 		resp.Rooms = append(resp.Rooms, &nodev1.ServiceRoom{
 			Service: class.Service, MilliCpu: class.Capacity.MilliCPU, MemoryMb: class.Capacity.MemoryMB,
