Take missing limits from the machine

Callers saw: a daemon whose settings name no memory or no descriptors had no limit for clients: lines of headers from 3,800 connections took it beyond any size.

Cause: a limit that is missing in the settings was none. The process can ask its machine.

Change: the memory of the machine and the process's own limit of descriptors apply where the settings have none or more. The line "serving" names the limits in force.

No flood shows this on a machine of tests, whose memory is far larger than what a small crowd can send.

--- a/internal/control/daemon/intake.go
+++ b/internal/control/daemon/intake.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/core/intake"
+	"github.com/dogwoodworks/dogwoodworks/internal/core/machine"
 )
 
 const (
@@ -27,10 +27,10 @@
 // serve opens and serves the listeners for callers, operators and peers within the memory
 // and descriptors of the process.
 func (d *Daemon) serve(failed chan<- error) error {
-	b := &intake.Budget{Memory: d.settings.Limits.Memory, Log: d.log, Meter: d.meter}
-	var files syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
-		b.Descriptors = int(min(float64(files.Cur)*clientFiles, maxClientFiles))
+	b := &intake.Budget{
+		Memory:      machine.Limit(d.settings.Limits.Memory, machine.Memory()),
+		Descriptors: int(min(float64(machine.Descriptors())*clientFiles, maxClientFiles)),
+		Log:         d.log, Meter: d.meter,
 	}
 	b.SetRuntimeLimit()
 	d.callers.Server.Handler, d.operators.Server.Handler = d.callers, d.operators
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -158,7 +158,8 @@
 			n.lock.Run(ctx, n.planner.RunTerm)
 		})
 	}()
-	n.Log.Info("serving", "vm", n.Settings.VMID, "data_centre", n.Settings.DataCentre, "callers", n.Settings.CallerAddress)
+	n.Log.Info("serving", "vm", n.Settings.VMID, "data_centre", n.Settings.DataCentre, "callers", n.Settings.CallerAddress,
+		"memory_bytes", n.Settings.MemoryBytes, "max_sockets", n.Settings.MaxSockets)
 	<-ctx.Done()
 	n.stop(servers, releaseLock, electionDone)
 	return nil
