Intake: bound the answers that wait in the kernel

Callers saw: a VM's memory fills although the process stays small, when clients send many small requests on a connection and read no answer.

Change: the send buffer is set like the receive buffer, and both count to the share of the memory for the kernel (0.2 instead of 0.15; the runtime's limit is 0.65 instead of 0.7). Listeners of peers leave it to the kernel: daemons read what they are sent, over slow links. TCP_NOTSENT_LOWAT was tried first: small answers stay in flight, 128 MB as before.

Evidence: the floods now count what waits in both directions. One legal request at a time is served as before.

--- a/internal/control/daemon/intake.go
+++ b/internal/control/daemon/intake.go
@@ -47,6 +47,7 @@
 	for i, sh := range shares {
 		s := b.Share(sh.name, sh.memory, sh.descriptors)
 		s.BodyTime = func(*http.Request) time.Duration { return d.settings.Limits.ReadTimeout.Duration }
+		s.TrustReaders = sh.server == d.peers
 		s.Configure(sh.server)
 		l, err := s.Listen(sh.address)
 		if err != nil {
--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -25,19 +25,21 @@
 	// buffers that grow up to twofold, and keep the decoded body for a while.
 	bodyFactor = 2
 
+	// minConns is the least number of connections of a listener.
+	minConns = 2
 	// openShare is the share of the connections whose reads don't fail. The server closes the
 	// others within a second.
 	openShare = 0.67
 
 	// heapShare is the share of the process's memory that the Go runtime may use, and
 	// minHeapShare that with little memory. The rest is for the program's text, which takes
-	// textMemory, and for unreadShare.
-	heapShare    = 0.7
+	// textMemory, and for kernelShare.
+	heapShare    = 0.65
 	minHeapShare = 0.4
 	textMemory   = 24 << 20
-	// unreadShare is the share of the process's memory for bytes that have been received and
-	// not read. They count to the memory of a VM.
-	unreadShare = 0.15
+	// kernelShare is the share of the process's memory for bytes that have been received and
+	// not read, which count to the memory of a VM, and for answers that are not sent.
+	kernelShare = 0.2
 	// clientShare is the share of the process's memory that clients may hold. The planner
 	// of 350 workers needs the rest of the heap.
 	clientShare = 0.2
@@ -57,7 +59,7 @@
 // SetRuntimeLimit sets the memory limit of the Go runtime, unless a lower one is set.
 func (b *Budget) SetRuntimeLimit() {
 	memory := float64(b.Memory)
-	limit := int64(max(minHeapShare*memory, min(heapShare*memory, (1-unreadShare)*memory-textMemory)))
+	limit := int64(max(minHeapShare*memory, min(heapShare*memory, (1-kernelShare)*memory-textMemory)))
 	if b.Memory > 0 && limit < debug.SetMemoryLimit(-1) {
 		debug.SetMemoryLimit(limit)
 	}
@@ -75,10 +77,9 @@
 		s.maxHeld = int64(float64(b.Memory) * clientShare * memory)
 	}
 	if b.Descriptors > 0 {
-		s.maxConns = max(2, int(descriptors*float64(b.Descriptors)))
+		s.maxConns = max(minConns, int(descriptors*float64(b.Descriptors)))
 	}
-	s.setBuffers(int64(float64(b.Memory) * unreadShare * memory))
-	s.maxOpen = max(1, int(openShare*float64(s.maxConns)))
+	s.kernel = int64(float64(b.Memory) * kernelShare * memory)
 	return s
 }
 
@@ -92,13 +93,18 @@
 	Account func(r *http.Request) string
 	// BodyTime returns the time in which the body of a request must arrive.
 	BodyTime func(r *http.Request) time.Duration
+	// TrustReaders leaves the size of the send buffers to the kernel, which enlarges them for
+	// fast links, as the clients read what they are sent.
+	TrustReaders bool
 
 	maxHeld int64
+	// kernel is what the kernel may hold for the connections, in bytes; 0 for no bound.
+	kernel int64
 	// maxConns bounds the connections, and maxOpen those whose reads don't fail.
 	maxConns, maxOpen int
 	// queue is the largest number of connections that are not accepted yet.
 	queue int
-	// buffer is the kernel's receive buffer of a connection in bytes.
+	// buffer is the size of the kernel's buffers of a connection in bytes.
 	buffer int
 	log    *slog.Logger
 	meter  *meter.Meter
--- a/internal/core/intake/listen.go
+++ b/internal/core/intake/listen.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxBuffer and minBuffer bound the kernel's receive buffer of a connection in bytes.
-	// Usual requests fit in the smaller.
+	// maxBuffer and minBuffer bound the kernel's receive buffer of a connection, and its send
+	// buffer, in bytes. Usual requests and answers fit in the smaller.
 	maxBuffer = 256 << 10
 	minBuffer = 16 << 10
 	// minQueue is the smallest length of the queue of connections that are not accepted yet.
@@ -18,32 +18,43 @@
 	minQueue = 64
 	// queueShare is the inverse of that length as a part of the listener's connections.
 	queueShare = 4
-	// kernelFactor is the ratio of the receive buffer that the kernel reserves to the size
-	// that is asked for.
+	// kernelFactor is the ratio of the buffer that the kernel reserves to the size that is
+	// asked for.
 	kernelFactor = 2
 )
 
-// setBuffers divides what the listener's connections may hold unread by their number,
-// with those that are not accepted yet, which receive data too.
-func (s *Share) setBuffers(unread int64) {
-	s.queue = max(minQueue, s.maxConns/queueShare)
-	s.buffer = maxBuffer
-	if unread <= 0 {
+// setBuffers divides what the kernel may hold for the listener's connections by their
+// buffers, with those of connections that are not accepted yet, which receive data too.
+func (s *Share) setBuffers(kernel int64) {
+	s.queue, s.buffer = max(minQueue, s.maxConns/queueShare), maxBuffer
+	if kernel <= 0 {
 		return
 	}
-	if n := int(unread / minBuffer); s.maxConns+s.queue > n {
-		s.maxConns = max(1, min(s.maxConns, n-n/queueShare))
-		s.queue = max(1, n-s.maxConns)
+	perConn := 1
+	if !s.TrustReaders {
+		perConn = 2
 	}
-	s.buffer = int(min(maxBuffer, unread/int64(s.maxConns+s.queue)))
+	if buffers := kernel / minBuffer; int64(s.maxConns*perConn+s.queue) > buffers {
+		s.maxConns = min(s.maxConns, max(minConns, int(buffers)*queueShare/(perConn*queueShare+1)))
+		s.queue = max(1, int(buffers)-s.maxConns*perConn)
+	}
+	s.buffer = int(min(maxBuffer, kernel/int64(s.maxConns*perConn+s.queue)))
 }
 
 // Listen opens the share's TCP listener. Its connections count to the share.
 func (s *Share) Listen(address string) (net.Listener, error) {
-	// Connections inherit the buffer, also while they are not accepted yet.
+	s.setBuffers(s.kernel)
+	s.maxOpen = max(1, int(openShare*float64(s.maxConns)))
+	// Connections inherit the options, also while they are not accepted yet.
 	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		return control(rc, func(fd int) error {
-			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, s.buffer/kernelFactor)
+			size := s.buffer / kernelFactor
+			if !s.TrustReaders {
+				if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size); err != nil {
+					return err
+				}
+			}
+			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
 		})
 	}}
 	l, err := lc.Listen(context.Background(), "tcp", address)
--- a/internal/fleet/node/intake.go
+++ b/internal/fleet/node/intake.go
@@ -53,6 +53,13 @@
 	return s
 }
 
+// peerListener returns the share of the listener for other daemons.
+func (n *Node) peerListener(b *intake.Budget) *intake.Share {
+	s := b.Share("peers", peerShare, peerShare)
+	s.TrustReaders = true
+	return s
+}
+
 // newServer returns a server of a listener's share.
 func newServer(h http.Handler, s *intake.Share) *http.Server {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -262,7 +262,7 @@
 		share   *intake.Share
 	}{
 		{n.Settings.CallerAddress, n.countCalls(n.callerAPI), n.callers(budget)},
-		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers, budget.Share("peers", peerShare, peerShare)},
+		{net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.PeerPort)), peers, n.peerListener(budget)},
 		{n.Settings.ReadinessAddress, ready, budget.Share("readiness", probeShare, probeShare)},
 		{n.Settings.MetricsAddress, metrics, budget.Share("metrics", metricsShare, metricsShare)},
 	} {
--- a/internal/proof/flood/usage_test.go
+++ b/internal/proof/flood/usage_test.go
@@ -17,9 +17,9 @@
 	target *target
 	// local is the address of the process as the kernel's table of sockets writes it.
 	local string
-	// The peaks of the open sockets and pipes, of the bytes that were received and not
-	// read, and of the sum of those and the resident memory in bytes.
-	sockets, unread, memory int
+	// The peaks of the open sockets and pipes, of the bytes that wait in the kernel, and of
+	// the sum of those and the resident memory in bytes.
+	sockets, waiting, memory int
 
 	stop chan struct{}
 	done chan struct{}
@@ -46,9 +46,9 @@
 
 func (u *usage) sample() {
 	u.sockets = max(u.sockets, u.openSockets())
-	unread := u.unreadBytes()
-	u.unread = max(u.unread, unread)
-	u.memory = max(u.memory, unread+u.status("VmRSS:"))
+	waiting := u.waitingBytes()
+	u.waiting = max(u.waiting, waiting)
+	u.memory = max(u.memory, waiting+u.status("VmRSS:"))
 }
 
 // openSockets returns the number of sockets and pipes of the process.
@@ -67,9 +67,9 @@
 	return n
 }
 
-// unreadBytes returns the bytes that wait in the kernel for the process, also on
-// connections that it has not accepted yet.
-func (u *usage) unreadBytes() int {
+// waitingBytes returns the bytes that wait in the kernel: received for the process and not
+// read, also on connections that it has not accepted yet, and sent by it and not received.
+func (u *usage) waitingBytes() int {
 	const listening = "0A"
 	b, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
@@ -81,9 +81,11 @@
 		if len(fields) < 5 || !strings.HasPrefix(fields[1], u.local) || fields[3] == listening {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[4], ":")
-		if n, err := strconv.ParseInt(received, 16, 64); err == nil {
-			sum += int(n)
+		unsent, received, _ := strings.Cut(fields[4], ":")
+		for _, q := range []string{unsent, received} {
+			if n, err := strconv.ParseInt(q, 16, 64); err == nil {
+				sum += int(n)
+			}
 		}
 	}
 	return sum
@@ -116,7 +118,7 @@
 	if peak == 0 {
 		t.Fatal("the process has ended")
 	}
-	t.Logf("peak: %d MB, %d MB unread, %d MB with unread, %d sockets", peak>>20, u.unread>>20, u.memory>>20, u.sockets)
+	t.Logf("peak: %d MB, %d MB wait in the kernel, %d MB with these, %d sockets", peak>>20, u.waiting>>20, u.memory>>20, u.sockets)
 	if used := max(peak, u.memory); used > u.target.memoryMB<<20 {
 		t.Errorf("the process used %d MB; its settings have %d", used>>20, u.target.memoryMB)
 	}
