Intake: close connections whose answers are not read for others

Callers saw: beside clients that send requests and read no answers, all places of a listener are taken, and an ordinary caller is served only after 20 s.

Cause: a connection whose answer is being written counted as a running request, which is never closed, until its write timed out after 20 s.

Change: if the client has read nothing for 2 s, the connection is closed when its place is needed, after idle ones. Its request has run; the client loses an answer that it does not read. Requests that run are kept as before.

Evidence: TestUnreadAnswerMakesPlace, for which the eviction had no such class before.

--- a/internal/core/intake/budget.go
+++ b/internal/core/intake/budget.go
@@ -145,8 +145,11 @@
 	c.held, c.err = 0, err
 	s.aborted++
 	s.causes[cause]++
-	// Ends a read in progress.
+	// Ends a read or write in progress.
 	_ = c.Conn.SetReadDeadline(past)
+	if !c.writing.IsZero() {
+		_ = c.SetWriteDeadline(past)
+	}
 }
 
 // release returns what a connection holds when it is closed. It may be called again.
--- a/internal/core/intake/evict.go
+++ b/internal/core/intake/evict.go
@@ -13,6 +13,9 @@
 	evictMargin = 16
 	// progressTime is the time without a byte from which a request counts as stalled.
 	progressTime = 250 * time.Millisecond
+	// unreadEvictTime is how long a write may wait for a client that reads nothing before the
+	// connection may be closed for another.
+	unreadEvictTime = 2 * time.Second
 	// firstByteTime is how long a new connection is kept before others that wait.
 	firstByteTime = time.Second
 )
@@ -20,6 +23,8 @@
 // Classes of connections, in the order in which they are closed.
 const (
 	classIdle = iota
+	// classUnread connections have an answer that the client does not read.
+	classUnread
 	classStalled
 	classProgressing
 	// classYoung requests began less than progressTime ago, so that their rate says
@@ -88,12 +93,12 @@
 
 // evict closes connections, those with the least progress first, until done reports
 // true or none is left that may be closed. Connections whose request runs are kept, as
-// their outcome would not be known. s.mu is held.
+// their outcome would not be known, unless the client does not read it. s.mu is held.
 func (s *Share) evict(cause string, now time.Time, done func() bool) {
 	h := s.holdings()
 	s.victims = s.victims[:0]
 	for c := range s.conns {
-		if c.err == nil && c.state != running {
+		if c.err == nil && (c.state != running || c.isUnread(now)) {
 			v := c.victim(now)
 			h.mark(&v)
 			s.victims = append(s.victims, v)
@@ -110,10 +115,17 @@
 	clear(s.victims)
 }
 
+// isUnread reports whether the client has not read what the server writes.
+func (c *conn) isUnread(now time.Time) bool {
+	return !c.writing.IsZero() && now.Sub(c.writing) >= unreadEvictTime
+}
+
 func (c *conn) victim(now time.Time) victim {
 	age := now.Sub(c.since)
 	v := victim{conn: c, class: classProgressing, order: float64(c.received) / (age + progressTime).Seconds()}
 	switch {
+	case c.isUnread(now):
+		v.class, v.order = classUnread, -now.Sub(c.writing).Seconds()
 	case c.state == idle:
 		v.class, v.order = classIdle, -age.Seconds()
 	case c.received == 0 && age < firstByteTime:
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -137,6 +137,30 @@
 	is.NoErr(runs.err)
 }
 
+// TestUnreadAnswerMakesPlace guards against clients that read no answers and keep others out,
+// and against closing a connection whose request runs or whose answer was just written.
+func TestUnreadAnswerMakesPlace(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := newShare(0, 0)
+	add := func(c *conn) *conn {
+		c.Conn, _ = net.Pipe()
+		c.share, c.held, c.state, c.since = s, connCost, running, now.Add(-time.Minute)
+		s.conns[c] = struct{}{}
+		s.held += c.held
+		return c
+	}
+	runs, writes := add(&conn{}), add(&conn{writing: now.Add(-unreadEvictTime / 2)})
+	unread := add(&conn{writing: now.Add(-unreadEvictTime)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evict(causeConnections, now, func() bool { return false })
+	is.NoErr(runs.err)
+	is.NoErr(writes.err)
+	is.True(unread.err != nil)
+	is.Equal(s.held, int64(2*connCost))
+}
+
 // TestLargeHolderIsClosedFirst guards against closing the slow request of one client for
 // the many requests of another.
 func TestLargeHolderIsClosedFirst(t *testing.T) {
