Intake: tell clients that read slowly from those that read nothing

Cause: one write of the server may be a whole answer, and what the client has read of it is not seen.

Change: an answer is written in pieces of 16 KiB, each of which counts as progress. Evidence: TestSlowReaderHasProgress, which fails with one write.

--- a/internal/core/intake/conn.go
+++ b/internal/core/intake/conn.go
@@ -143,13 +143,21 @@
 	c.share.charge(c, cost, now)
 }
 
-// Write writes, and keeps when the write began, as a client may read nothing.
-func (c *conn) Write(p []byte) (int, error) {
+// writePiece is how much is written at a time, so that a client which reads a large answer
+// slowly is told from one that reads nothing.
+const writePiece = 16 << 10
+
+// Write writes, and keeps since when the client has read nothing.
+func (c *conn) Write(p []byte) (n int, err error) {
 	s := c.share
-	s.mu.Lock()
-	c.writing = time.Now()
-	s.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	for first := true; err == nil && (first || n < len(p)); first = false {
+		s.mu.Lock()
+		c.writing = time.Now()
+		s.mu.Unlock()
+		var written int
+		written, err = c.Conn.Write(p[n:min(n+writePiece, len(p))])
+		n += written
+	}
 	s.mu.Lock()
 	c.writing = time.Time{}
 	s.mu.Unlock()
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -212,6 +212,33 @@
 	is.New(t).True(<-failed != nil)
 }
 
+// TestSlowReaderHasProgress guards against cutting large answers to clients that read them
+// slowly.
+func TestSlowReaderHasProgress(t *testing.T) {
+	is := is.New(t)
+	s := newShare(0, 0)
+	a, b := net.Pipe()
+	c := s.admit(a)
+	done := make(chan int)
+	go func() {
+		n, _ := c.Write(make([]byte, 2*writePiece))
+		done <- n
+	}()
+	_, err := io.ReadFull(b, make([]byte, writePiece/2))
+	is.NoErr(err)
+	s.mu.Lock()
+	c.writing = time.Now().Add(-time.Hour)
+	s.mu.Unlock()
+	_, err = io.ReadFull(b, make([]byte, writePiece))
+	is.NoErr(err)
+	s.mu.Lock()
+	is.True(!c.isUnread(time.Now())) // the second piece is being written
+	s.mu.Unlock()
+	_, err = io.ReadFull(b, make([]byte, writePiece/2))
+	is.NoErr(err)
+	is.Equal(<-done, 2*writePiece)
+}
+
 // zeros is a connection that always has bytes.
 type zeros struct{ net.Conn }
 
