--- a/internal/fleet/entry/memory.go
+++ b/internal/fleet/entry/memory.go
@@ -11,7 +11,7 @@
 )
 
 // memoryRetryAfter is the delay suggested to clients for whose jobs the planner has no
-// memory. It is released when jobs that ended are forgotten.
+// memory. Memory is released as jobs end.
 const memoryRetryAfter = 10 * time.Second
 
 // reportTime is the time after which the planner's summary includes a job that was stored:
