Read the jobs once for a summary of the planner

A summary went over all jobs three times under the planner's lock, and VMs ask for it often. setBuffers was given a field of its receiver. Behaviour is as before; intake's tests and those of the planner's records, summaries and run protocol pass.

--- a/internal/core/intake/listen.go
+++ b/internal/core/intake/listen.go
@@ -25,25 +25,25 @@
 
 // setBuffers divides what the kernel may hold for the listener's connections by their
 // buffers, with those of connections that are not accepted yet, which receive data too.
-func (s *Share) setBuffers(kernel int64) {
+func (s *Share) setBuffers() {
 	s.queue, s.buffer = max(minQueue, s.maxConns/queueShare), maxBuffer
-	if kernel <= 0 {
+	if s.kernel <= 0 {
 		return
 	}
 	perConn := 1
 	if !s.TrustReaders {
 		perConn = 2
 	}
-	if buffers := kernel / minBuffer; int64(s.maxConns*perConn+s.queue) > buffers {
+	if buffers := s.kernel / minBuffer; int64(s.maxConns*perConn+s.queue) > buffers {
 		s.maxConns = min(s.maxConns, max(minConns, int(buffers)*queueShare/(perConn*queueShare+1)))
 		s.queue = max(1, int(buffers)-s.maxConns*perConn)
 	}
-	s.buffer = int(min(maxBuffer, kernel/int64(s.maxConns*perConn+s.queue)))
+	s.buffer = int(min(maxBuffer, s.kernel/int64(s.maxConns*perConn+s.queue)))
 }
 
 // Listen opens the share's TCP listener. Its connections count to the share.
 func (s *Share) Listen(address string) (net.Listener, error) {
-	s.setBuffers(s.kernel)
+	s.setBuffers()
 	s.maxOpen = max(1, int(openShare*float64(s.maxConns)))
 	// Connections inherit the options, also while they are not accepted yet.
 	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
--- a/internal/fleet/planner/memory.go
+++ b/internal/fleet/planner/memory.go
@@ -40,15 +40,6 @@
 	return sum
 }
 
-// addMemory adds the memory that the jobs of the term take, by account, to a summary.
-func (t *term) addMemory(s *model.PlannerSummary) {
-	s.JobMemory, s.MaxJobMemory, s.AccountMemory = t.jobMemory(), t.p.MaxJobMemory, make(map[string]int64)
-	for _, j := range t.jobs {
-		s.AccountMemory[j.spec.Account] += j.memory
-	}
-	t.p.Meter.Set("job_memory_bytes", s.JobMemory)
-}
-
 // compactEnded releases what the jobs that have ended no longer need.
 func (t *term) compactEnded() {
 	for _, j := range t.jobs {
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -276,14 +276,18 @@
 		return model.PlannerSummary{}, err
 	}
 	defer t.mu.Unlock()
-	summary := model.PlannerSummary{Pending: make(map[string]int64)}
+	summary := model.PlannerSummary{
+		Pending: make(map[string]int64), MaxJobMemory: p.MaxJobMemory, AccountMemory: make(map[string]int64),
+	}
 	for _, j := range t.jobs {
+		summary.JobMemory += j.memory
+		summary.AccountMemory[j.spec.Account] += j.memory
 		if !j.ended() && !j.everPlaced {
 			summary.Pending[j.spec.Queue.Name]++
 		}
 	}
 	summary.WorkerClasses = t.sizes.classes()
-	t.addMemory(&summary)
+	p.Meter.Set("job_memory_bytes", summary.JobMemory)
 	return summary, nil
 }
 
