review: case 13, a lasting job is given up after crashes of its runners

Cause: a task under which four workers crashed one after the other counts as one that crashes them, also if it lasts. Seen: the job is shown as failed beside idle runners; no run of it ended as failed.

--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -7,7 +7,7 @@
 )
 
 func main() {
-	cases := map[string]func(s *sim) bool{"again": again, "pending": pending, "route": route}
+	cases := map[string]func(s *sim) bool{"again": again, "crash": crash, "pending": pending, "route": route}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD, in the repository root")
 		os.Exit(2)
--- a/review/_standin3/runner.go
+++ b/review/_standin3/runner.go
@@ -88,6 +88,36 @@
 	})
 }
 
+// cutAndCrash cuts the runner off from all daemons for a time, in which it answers nothing. Its
+// process ends at once; when the cut ends, it has started again under its id, with nothing of
+// before.
+func (r *runner) cutAndCrash(down time.Duration) {
+	r.mu.Lock()
+	r.hangs = make(chan struct{})
+	for _, x := range r.running {
+		r.sim.ended(r, x, "crashed")
+	}
+	r.running, r.highest, r.finished = make(map[string]*run), make(map[string]int64), nil
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	r.sim.note("runner %s is cut off, and crashes", r)
+	time.AfterFunc(down, func() {
+		_ = r.server.Close()
+		l, err := net.Listen("tcp4", r.address)
+		check(err)
+		r.mu.Lock()
+		close(r.hangs)
+		r.hangs, r.born, r.token, r.deadline, r.ends, r.sequence = nil, time.Now(), 0, 0, 0, 0
+		r.server = &http.Server{Handler: r.server.Handler}
+		server := r.server
+		r.mu.Unlock()
+		go func() { _ = server.Serve(l) }()
+		r.sim.note("runner %s has started again and is reached again", r)
+		r.beat()
+	})
+}
+
 // unlessHanging carries a call out unless the runner hangs when it comes.
 func (r *runner) unlessHanging(f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
@@ -119,7 +149,7 @@
 	if r.draining {
 		e["remaining_ms"] = drainTime.Milliseconds()
 	}
-	gone := r.gone
+	gone := r.gone || r.hangs != nil && r.sim.crashes
 	r.mu.Unlock()
 	if !gone {
 		r.sim.store.put("servers/"+r.id, e)
--- a/review/_standin3/sim.go
+++ b/review/_standin3/sim.go
@@ -75,6 +75,8 @@
 	trouble bool
 	// statusTime is how long a job's state is to be known after its end.
 	statusTime time.Duration
+	// crashes says that a runner that doesn't answer has crashed, so that it doesn't register.
+	crashes bool
 
 	mu      sync.Mutex
 	jobs    map[string]*job
