--- a/review/_standin3/sim.go
+++ b/review/_standin3/sim.go
@@ -314,6 +314,7 @@
 	return time.Second
 }
 
+// move changes the number of runs of a job that are at work.
 func (s *sim) move(j *job, n int) {
 	j.active += n
 	j.lastActive = time.Now()
