Planner: know a removed job until its removal has been read

Cause: after the 410, watchJobs reads all records of jobs, page by page. Meanwhile removeExpired removes the records of jobs that ended long ago and deleted these jobs from the term's memory at once. A record on a page that was read before its removal then named an unknown job, which was added as a new one, without its run record. The condition of its placement, that there is no run record, holds. Ruled out: a late removal of an earlier term (it fails on the lock's revision) and a submission of a peer (rejected by its age); the planner's log shows "placed" with run 1 twice for one id, 64.6 s apart, 0.3 s after the history was discarded.

Change: a removed job stays known until the term has read the jobs up to a store revision at which the records no longer exist. Nothing that is read later can hold them, so no outdated reading, of whatever kind, brings the job back. A record with a higher revision than the job's last one is a new job under its id. The log says when and how far jobs are read again.

Evidence: TestRemovedJobsStayRemovedAfterCompaction failed before: "16 != 8" starts.

--- a/internal/fleet/planner/retire.go
+++ b/internal/fleet/planner/retire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -36,7 +37,7 @@
 	}
 	var expired []*job
 	for _, j := range t.jobs {
-		if j.isFinal() && now.Sub(time.UnixMilli(j.endedMS)) > retention {
+		if j.removedAt == 0 && j.isFinal() && now.Sub(time.UnixMilli(j.endedMS)) > retention {
 			expired = append(expired, j)
 		}
 	}
@@ -93,24 +94,47 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 	defer cancel()
-	_, current, err := t.p.Store.Apply(ctx, txn)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if err != nil && !fault.Is(err, fault.Conflict) {
+	revision, current, err := t.p.Store.Apply(ctx, txn)
+	if fault.Is(err, fault.Conflict) {
+		if expired = withoutRecord(expired, current); len(expired) == 0 {
+			return false
+		}
+		revision, err = t.storeRevision(ctx)
+	}
+	if err != nil {
 		// The next attempt may remove them again without harm.
 		t.p.Meter.Inc("retire_" + string(fault.KindOf(err)))
 		return false
 	}
-	if err != nil {
-		expired = withoutRecord(expired, current)
-	}
-	for _, j := range expired {
-		delete(t.jobs, j.id)
-	}
-	t.p.Meter.Add("job_retired", int64(len(expired)))
-	t.p.Log.Info("records of ended jobs removed", "jobs", len(expired), "known", len(t.jobs), "kept_ms", t.p.recordRetention().Milliseconds())
-	// A removal that did nothing is not repeated soon.
-	return more && len(expired) > 0
+	t.locked(func() {
+		for _, j := range expired {
+			j.removedAt = revision
+		}
+		t.removed = append(t.removed, expired...)
+		t.forgetRemoved()
+		t.p.Meter.Add("job_retired", int64(len(expired)))
+		t.p.Log.Info("records of ended jobs removed", "jobs", len(expired), "revision", revision, "read_to", t.jobsRevision, "known", len(t.jobs), "kept_ms", t.p.recordRetention().Milliseconds())
+	})
+	return more
+}
+
+// storeRevision returns the present revision of the store.
+func (t *term) storeRevision(ctx context.Context) (int64, error) {
+	page, err := t.p.Store.Page(ctx, store.LockKey, "")
+	return page.At, err
+}
+
+// forgetRemoved forgets the jobs whose removal the term has read.
+func (t *term) forgetRemoved() {
+	t.removed = slices.DeleteFunc(t.removed, func(j *job) bool {
+		if j.removedAt > t.jobsRevision {
+			return false
+		}
+		if t.jobs[j.id] == j {
+			delete(t.jobs, j.id)
+		}
+		return true
+	})
 }
 
 // withoutRecord returns those of the expired jobs whose run records are not among the
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -56,7 +56,11 @@
 	changes, persistedChanges int64
 	// revision is the store revision of the run record; 0 if there is none.
 	revision int64
-	accepted time.Time
+	// removedAt is a store revision at which the records of the job no longer exist; 0 while
+	// they are retained. The job is known until the term has read the jobs of that revision,
+	// so that a record that was read before the removal is not taken for a new job.
+	removedAt int64
+	accepted  time.Time
 	// takenAt is when this term added the job, and before the time until then by cause.
 	takenAt time.Time
 	before  cause.Spent
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -86,6 +86,8 @@
 	writeAfter time.Time
 	// jobsRevision is the store revision up to which changes of jobs have been read.
 	jobsRevision int64
+	// removed are the jobs whose records are removed and that are still known.
+	removed []*job
 	// room decides how much room is kept for urgent units.
 	room urgentRoom
 	// interference is what was learnt about kinds of tasks that slow each other.
--- a/internal/fleet/planner/watch.go
+++ b/internal/fleet/planner/watch.go
@@ -28,7 +28,9 @@
 		cancel()
 		if fault.Is(err, fault.RetryHorizon) {
 			t.p.Meter.Inc("planner_watch_restart")
+			start := time.Now()
 			events, next, err = t.readAll(store.JobPrefix)
+			t.p.Log.Info("jobs read again: the store has discarded their changes", "term", t.revision, "from", from, "to", next, "records", len(events), "took_ms", time.Since(start).Milliseconds())
 		}
 		if err != nil {
 			t.p.Meter.Inc("planner_watch_retry")
@@ -38,6 +40,7 @@
 		t.locked(func() {
 			t.jobsRevision = next
 			t.applyJobItems(events, "watch")
+			t.forgetRemoved()
 		})
 		if len(events) > 0 {
 			t.notify()
@@ -70,6 +73,10 @@
 			t.p.Log.Error("job record could not be decoded", "job", id, "error", err)
 			continue
 		}
+		if j := t.jobs[id]; j != nil && j.removedAt != 0 && it.Revision > j.revision {
+			// The id was accepted again after the removal of the old job's records.
+			delete(t.jobs, id)
+		}
 		t.applySpec(spec, source)
 	}
 	return cancelled
