Planner: give a job the queue of the newest configuration when it is added

Cause: refreshQueues renewed the queues of the live jobs once for each version. A VM reads the configuration up to 0.7 s after the planner's, so a job that it accepts meanwhile is added later, with the service, priority, attempts and objective of the old version, and keeps them until a further version comes or the planner changes.

Change: a job knows the version that its queue is from, and takes a queue only from a newer one: when it is added, and at each new version.

Related path, ended by the same comparison: a job that the planner learned of before its own configuration went back to the queue of a version in between.

--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -15,7 +15,11 @@
 		return
 	}
 	j := &job{
-		id: s.Job.ID, spec: s, queue: s.Queue, units: make(map[unitKey]*unit), memory: JobMemory(&s.Job),
+		id: s.Job.ID, spec: s, queue: s.Queue, queueVersion: s.ConfigVersion, units: make(map[unitKey]*unit), memory: JobMemory(&s.Job),
+	}
+	if cfg := t.p.Config.Current(); cfg != nil {
+		// The VM that accepted the job may have had an older configuration.
+		t.refreshQueue(j, cfg)
 	}
 	t.recordArrival(j, source)
 	if s.Job.Occurrences == 0 {
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -98,12 +98,18 @@
 	}
 }
 
-// refreshQueue updates a job's queue from a configuration. If the configuration no longer
-// has the queue, the job retains the last known one.
+// refreshQueue updates a job's queue from a configuration, unless the queue is from a newer one.
+// If the configuration no longer has the queue, the job retains the last known one.
 func (t *term) refreshQueue(j *job, cfg *model.Config) {
-	if q := cfg.Queue(j.spec.Queue.Name); q != nil {
-		j.queue = *q
+	q := cfg.Queue(j.spec.Queue.Name)
+	if q == nil || cfg.Version <= j.queueVersion {
+		return
+	}
+	if q.Service != j.queue.Service {
+		t.p.Meter.Inc("job_service_changed")
+		t.p.Log.Info("job sent to another service", "job", j.id, "queue", q.Name, "service", q.Service, "version", cfg.Version, "before", j.queue.Service, "before_version", j.queueVersion)
 	}
+	j.queue, j.queueVersion = *q, cfg.Version
 }
 
 // preempt stops a unit to free its resources.
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -26,10 +26,12 @@
 	// memory is the result of JobMemory, less once the job is compacted.
 	memory    int64
 	compacted bool
-	// queue is the job's queue in the current configuration, or in the last one that had
-	// it.
-	queue     model.Queue
-	cancelled bool
+	// queue is the job's queue in the newest known configuration that has it, and queueVersion
+	// the version of that configuration. It is not older than the one that the job was
+	// accepted under.
+	queue        model.Queue
+	queueVersion int64
+	cancelled    bool
 	// state is set to a terminal state once the job has ended; persisted reports whether
 	// the store has it.
 	state     model.JobState
