Planner: count a job as begun only once a task is known to have started

Cause: a job counted as begun from its placement on. A start without a response made that permanent, also in the record of the run, though the worker later showed that nothing had started: it acknowledged the stop and did not list the run. Doubt was kept as a fact.

Change: a job has begun from the first sign of a started task on: an acknowledged start, or a run or result that a worker lists, also of a run that was given up. The record has what was known when it was written. What an earlier term placed counts until its worker shows otherwise, so that running jobs do not turn to queued at a change of the planner; if the incarnation on which it was placed is gone or silent, it may have begun and counts. everPlaced and the way back from it are gone. RunRecord.EverPlaced is now Begun, with the same name in the stored form.

Related paths, same cause: starts refused after an attempt without a response, workers that are silent until their leases are over, the next planner's terms, the state that VMs read without a planner.

--- a/internal/fleet/planner/commit.go
+++ b/internal/fleet/planner/commit.go
@@ -253,7 +253,7 @@
 }
 
 func (j *job) encodeRecordWith(h *histories, limit int) []byte {
-	r := RunRecord{State: j.state, EndedMS: j.endedMS, EverPlaced: j.everPlaced}
+	r := RunRecord{State: j.state, EndedMS: j.endedMS, Begun: j.begun}
 	for _, u := range j.unitList {
 		rec := UnitRecord{
 			Occurrence: u.key.occurrence, Step: u.key.step, Index: u.key.index,
--- a/internal/fleet/planner/hold.go
+++ b/internal/fleet/planner/hold.go
@@ -321,6 +321,7 @@
 		shape = j.spec.Job.Steps[k.task.Step].CountedShape()
 	}
 	w.unknownRuns[k] = shape
+	t.recordBegun(k.task)
 	for _, m := range w.members {
 		m.shared = true
 	}
--- a/internal/fleet/planner/jobs.go
+++ b/internal/fleet/planner/jobs.go
@@ -130,6 +130,7 @@
 	k := runKey{r.Task, r.Run}
 	m := w.members[k]
 	if m == nil {
+		t.recordBegun(r.Task)
 		if u := t.lateCompletion(r); u != nil {
 			t.p.Meter.Inc("end_done_late")
 			t.p.Log.Info("abandoned run completed", "job", r.Task.Job, "task", r.Task, "run", r.Run, "worker", w.id, "withdrawn", u.run-r.Run)
@@ -332,6 +333,9 @@
 	t.p.Meter.Inc("run_lost")
 	t.p.Log.Warn("run lost", "job", u.job.id, "task", m.task(), "run", m.run, "worker", w.id, "reason", reason,
 		"answered", m.startAckedAt != 0, "adopted", m.adopted, "shared", m.shared, "results_listed", w.listedResults)
+	if m.mayHaveBegun(w, reason) {
+		u.job.begun = true
+	}
 	t.dropMember(w, m)
 	if m.checkpoint != "" && u.resumes(t.p.Disabled) {
 		u.checkpoint = m.checkpoint
@@ -345,8 +349,29 @@
 	}
 }
 
+// mayHaveBegun reports whether a run of an earlier term that ended without a result may have
+// started there. The incarnation that it was placed on would list it or its result.
+func (m *member) mayHaveBegun(w *worker, reason string) bool {
+	return m.adopted && (reason == leaseOver || m.incarnation != w.incarnation)
+}
+
+// recordBegun records that a worker lists a run of a task, which may have been abandoned.
+func (t *term) recordBegun(task TaskID) {
+	j := t.jobs[task.Job]
+	if j == nil || j.begun {
+		return
+	}
+	j.begun = true
+	if !j.ended() {
+		t.markUnwritten(j)
+	}
+}
+
 // dropMember removes a member from its worker and its unit.
 func (t *term) dropMember(w *worker, m *member) {
+	if m.adopted && !m.removed {
+		m.unit.job.adopted--
+	}
 	m.removed = true
 	w.remove(m)
 	remaining := m.unit.members[:0]
--- a/internal/fleet/planner/orders.go
+++ b/internal/fleet/planner/orders.go
@@ -152,7 +152,6 @@
 		t.closeWorker(w, "refuses starts", refusedStartCloseTime)
 	}
 	if maybeStarted && !m.removed {
-		m.unit.job.begun = true
 		m.stopAckedAt = boottime.Now()
 		t.abortRun(m.unit, cause.StartFailed)
 	} else {
@@ -173,9 +172,6 @@
 	c, reason := t.abandonCause(m, reason)
 	t.p.Log.Info("start abandoned", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker, "reason", reason)
 	t.dropMember(w, m)
-	if j := m.unit.job; !j.begun && !j.isPlaced() {
-		j.everPlaced = false
-	}
 	m.unit.excuseStart()
 	t.abortRun(m.unit, c)
 	t.releaseIfStopped(m.unit)
@@ -195,7 +191,6 @@
 		t.notify()
 		return
 	}
-	m.unit.job.begun = true
 	t.p.Log.Warn("no response to start", "job", m.unit.job.id, "task", m.task(), "run", m.run, "worker", m.worker)
 	t.abortRun(m.unit, cause.StartFailed)
 	t.stop(m)
--- a/internal/fleet/planner/plan.go
+++ b/internal/fleet/planner/plan.go
@@ -128,7 +128,6 @@
 	u.isolated, u.isolateUntil, u.shareAfter = v.isolated[u], time.Time{}, time.Time{}
 	u.ledger.BeginRun(now)
 	u.beginMeasuring()
-	u.job.everPlaced = true
 	for i, k := range a.Workers {
 		w := v.workers[k]
 		index := u.key.index
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -259,7 +259,7 @@
 		return model.Cancelled
 	case j.ended() && j.persisted:
 		return j.state
-	case j.everPlaced:
+	case j.hasBegun():
 		return model.Running
 	}
 	return model.Queued
@@ -282,7 +282,7 @@
 	for _, j := range t.jobs {
 		summary.JobMemory += j.memory
 		summary.AccountMemory[j.spec.Account] += j.memory
-		if !j.ended() && !j.everPlaced {
+		if !j.ended() && !j.hasBegun() {
 			summary.Pending[j.spec.Queue.Name]++
 		}
 	}
--- a/internal/fleet/planner/record.go
+++ b/internal/fleet/planner/record.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/dogwoodworks/dogwoodworks/internal/core/fault"
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
@@ -76,9 +77,10 @@
 	// State is the terminal state; empty while the job has not ended.
 	State   model.JobState `json:"state,omitempty"`
 	EndedMS int64          `json:"ended_ms,omitempty"`
-	// EverPlaced reports whether any task of the job has been placed.
-	EverPlaced bool         `json:"begun,omitempty"`
-	Units      []UnitRecord `json:"units,omitempty"`
+	// Begun reports whether a task of the job was known to have started. Those of Units that are
+	// placed may have started since.
+	Begun bool         `json:"begun,omitempty"`
+	Units []UnitRecord `json:"units,omitempty"`
 	// Spent has the distinct times by cause of the units that are not done, each from the
 	// job's acceptance until this record; the first is that of the job. See cause.Decode.
 	Spent [][]int64 `json:"spent,omitempty"`
@@ -191,8 +193,13 @@
 		return r.State
 	case cancelled:
 		return model.Cancelled
-	case r != nil && r.EverPlaced:
+	case r != nil && (r.Begun || r.isPlaced()):
 		return model.Running
 	}
 	return model.Queued
 }
+
+// isPlaced reports whether a task of the job is placed.
+func (r *RunRecord) isPlaced() bool {
+	return slices.ContainsFunc(r.Units, func(u UnitRecord) bool { return len(u.Placements) > 0 })
+}
--- a/internal/fleet/planner/state.go
+++ b/internal/fleet/planner/state.go
@@ -37,10 +37,13 @@
 	state     model.JobState
 	persisted bool
 	endedMS   int64
-	// everPlaced reports whether a task of the job was placed, unless it is certain that none
-	// has begun; begun whether one may have begun.
-	everPlaced, begun bool
-	units             map[unitKey]*unit
+	// begun reports whether a task of the job is known to have started, or may have started in
+	// an earlier term.
+	begun bool
+	// adopted is the number of members that an earlier term placed and whose fate is not
+	// known yet.
+	adopted int
+	units   map[unitKey]*unit
 	// unitList are the units in the order of occurrence, step and index.
 	unitList []*unit
 	// createdOccurrences is the number of occurrences whose units exist.
@@ -89,6 +92,11 @@
 // start.
 func (j *job) ended() bool { return j.state != "" }
 
+// hasBegun reports whether a task of the job has started, as far as that is known. What an
+// earlier term placed counts until the worker shows otherwise. A start without a response does not
+// count: the next report of its worker lists what it started.
+func (j *job) hasBegun() bool { return j.begun || j.adopted > 0 }
+
 // unit is a schedulable unit: a gang, or one task of a step that is no gang.
 type unit struct {
 	job *job
--- a/internal/fleet/planner/term.go
+++ b/internal/fleet/planner/term.go
@@ -178,7 +178,7 @@
 		delete(t.live, id)
 		return
 	}
-	j.revision, j.everPlaced, j.begun = it.Revision, r.EverPlaced, r.EverPlaced
+	j.revision, j.begun = it.Revision, r.Begun
 	if r.State != "" {
 		// The term in which the job ended has logged its end.
 		j.state, j.persisted, j.endedMS, j.logged = r.State, true, r.EndedMS, true
@@ -211,6 +211,7 @@
 			address: place.Address, adopted: true, startSent: true,
 		})
 	}
+	j.adopted += len(u.members)
 	if !u.done {
 		for i := range rec.Losses {
 			rec.Losses[i].seenAt = t.startedAt
