Entry: let no call overtake one that waits for a newer configuration

Cause: Find lets a call pass that the present configuration allows, while an earlier call waits for a read of the configuration and is then answered by a newer one.

Change: a call waits for that read too if it arrived more than half of rollback_slack_ms after the one that waits, at most until 1 s after that one arrived.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -88,10 +88,14 @@
 	// MaxCalls bounds the calls in progress, with notifications of the planner; 0 for no
 	// bound.
 	MaxCalls int
-	Log      *slog.Logger
-	Meter    *meter.Meter
+	// RollbackSlack is how much later than another a call may be sent and still be handled by
+	// an older configuration.
+	RollbackSlack time.Duration
+	Log           *slog.Logger
+	Meter         *meter.Meter
 
 	calls       callLimit
+	refreshes   refreshes
 	memory      memoryLimit
 	withdrawals withdrawalLimit
 
@@ -116,13 +120,25 @@
 
 // Find returns the queue and job that a call addresses. Before it refuses a call, it
 // reads the configuration again unless that is younger than follow.FreshAge; if the
-// read fails, the present configuration decides.
+// read fails, the present configuration decides. A call does not overtake one that waits for
+// such a read and arrived earlier by more than RollbackSlack allows.
 func (js *JobService) Find(ctx context.Context, c Call) (Target, error) {
+	arrived := time.Now()
 	t, err := js.find(c)
 	age := js.Config.Age()
 	if err == nil && age < maxConfigAge || age < follow.FreshAge {
-		return t, err
+		first, waits := js.refreshes.first()
+		if !waits || arrived.Sub(first) < js.RollbackSlack/2 {
+			return t, err
+		}
+		js.Meter.Inc("call_kept_in_order")
+		ctx, cancel := context.WithDeadline(ctx, first.Add(refreshTimeout))
+		defer cancel()
+		_ = js.Config.Refresh(ctx)
+		return js.find(c)
 	}
+	js.refreshes.add(arrived)
+	defer js.refreshes.remove(arrived)
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if refreshErr := js.Config.Refresh(ctx); refreshErr != nil {
--- a/internal/fleet/model/settings.go
+++ b/internal/fleet/model/settings.go
@@ -45,6 +45,9 @@
 	// ConfigApplyTime is the longest time until an accepted configuration must
 	// be in force.
 	ConfigApplyTime time.Duration
+	// RollbackSlack is how much later than another a call may be sent to a VM and still be
+	// handled by an older configuration than that one.
+	RollbackSlack time.Duration
 	// StopGrace is the time between a planned stop and a kill.
 	StopGrace time.Duration
 	// StableWindow and one HeartbeatInterval are the time from which a worker's smaller
