Planner: start a task that lasts again at once after its last free start

Cause: the one start more that the platform allows after the last start was kept for 30 s, until the fourth loss might be known as a crash. A task that lasts may not wait that long.

Change: a task that lasts has that start at once, while it is not known of some loss whether it is a crash. The evidence that gives it up is unchanged, and it has no more starts than before.

--- a/internal/fleet/planner/crash.go
+++ b/internal/fleet/planner/crash.go
@@ -27,7 +27,8 @@
 	lastStarts  = 1
 	// resolveTime is how long a task that has had its last starts waits until it is known
 	// whether its losses are crashes. If workers have not returned by then, it has the one
-	// start more, and after that it is given up.
+	// start more, and after that it is given up. A task that lasts has the one start more at
+	// once.
 	resolveTime = 30 * time.Second
 	// isolationTime is how long a run keeps its workers to itself.
 	isolationTime = time.Minute
@@ -107,16 +108,22 @@
 // nothing or ended in a crash with a common cause, and one that ended without a crash or with
 // a worker that has not returned.
 func (u *unit) excusedStarts() int64 {
-	if u.reportedRun > 0 || u.isResolveOver() {
+	if u.reportedRun > 0 || u.isResolveOver() || u.step().LongRunning && u.hasUnresolvedLoss() {
 		return u.unstarted + 1
 	}
 	return u.unstarted
 }
 
+// hasUnresolvedLoss reports whether it is not known of some of the unit's losses whether they are
+// crashes.
+func (u *unit) hasUnresolvedLoss() bool {
+	return slices.ContainsFunc(u.losses, func(l LossRecord) bool { return !l.Crashed })
+}
+
 // isResolveOver reports whether it is still not known whether some of the unit's losses are
 // crashes resolveTime after the last one.
 func (u *unit) isResolveOver() bool {
-	if !slices.ContainsFunc(u.losses, func(l LossRecord) bool { return !l.Crashed }) {
+	if !u.hasUnresolvedLoss() {
 		return false
 	}
 	last := u.losses[len(u.losses)-1]
