Planner: run a job whose id is accepted again while its removal has no response

Callers would see (not seen outside the test): a job that is accepted under the id of a removed one, in the moment between the removal and its response, is not run until the planner changes.

Cause: the watch reports the new record while the term still takes the old job for retained, so it was ignored, and then the old job was forgotten.

Change: what tells the two apart is the revision alone. A job's record is written once, before its run record, so one with a higher revision than the run record of a job that has ended is a new job. The log line about jobs that are read again is written only if they were read.

Evidence: TestJobAcceptedAgainAfterRemovalRuns/late_removals failed before, "1 != 2" starts.

--- a/internal/fleet/planner/reread_test.go
+++ b/internal/fleet/planner/reread_test.go
@@ -64,29 +64,49 @@
 	})
 }
 
+// slowRemovals is a store whose responses to removals arrive late.
+type slowRemovals struct {
+	store.Store
+	delay time.Duration
+}
+
+func (s slowRemovals) Apply(ctx context.Context, txn store.Txn) (int64, []store.Item, error) {
+	revision, current, err := s.Store.Apply(ctx, txn)
+	if len(txn.Removes) > 0 {
+		time.Sleep(s.delay)
+	}
+	return revision, current, err
+}
+
 // TestJobAcceptedAgainAfterRemovalRuns guards against a job that is accepted under the id of a
 // removed one and is taken for it.
 func TestJobAcceptedAgainAfterRemovalRuns(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		is := is.New(t)
-		const retention = 30 * time.Second
-		fleet := newTestFleet(t, 1, 2)
-		defer fleet.close()
-		fleet.statusRetention = retention
-		fleet.configure = func(p *planner.Planner) { p.Store = slowPages{p.Store, 4 * time.Second} }
-		fleet.startVM("a")
-		time.Sleep(10 * time.Second)
-		fleet.submit(jobID(1), "solve", time.Second, step(1, 2, false))
-		is.Equal(len(fleet.waitForEnd(10*time.Second)), 0)
-		for fleet.hasRecords(jobID(1)) {
-			// The planner reads the records again all the while.
-			fleet.world.Store.Put("unrelated", nil)
-			fleet.world.Store.Compact()
-			time.Sleep(10 * time.Millisecond)
-		}
-		fleet.submit(jobID(1), "solve", time.Second, step(1, 2, false))
-		time.Sleep(15 * time.Second)
-		is.Equal(fleet.world.Starts(), 2)
-		is.Equal(fleet.world.State(jobID(1)), model.Completed)
-	})
+	for name, slow := range map[string]func(s store.Store) store.Store{
+		"late pages":    func(s store.Store) store.Store { return slowPages{s, 4 * time.Second} },
+		"late removals": func(s store.Store) store.Store { return slowRemovals{s, 800 * time.Millisecond} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				fleet := newTestFleet(t, 1, 2)
+				defer fleet.close()
+				fleet.statusRetention = 30 * time.Second
+				fleet.configure = func(p *planner.Planner) { p.Store = slow(p.Store) }
+				fleet.startVM("a")
+				time.Sleep(10 * time.Second)
+				fleet.submit(jobID(1), "solve", time.Second, step(1, 2, false))
+				is.Equal(len(fleet.waitForEnd(10*time.Second)), 0)
+				for fleet.hasRecords(jobID(1)) {
+					// The planner reads the records again all the while.
+					fleet.world.Store.Put("unrelated", nil)
+					fleet.world.Store.Compact()
+					time.Sleep(10 * time.Millisecond)
+				}
+				fleet.submit(jobID(1), "solve", time.Second, step(1, 2, false))
+				time.Sleep(15 * time.Second)
+				is.Equal(fleet.world.Starts(), 2)
+				is.Equal(fleet.world.State(jobID(1)), model.Completed)
+			})
+		})
+	}
 }
--- a/internal/fleet/planner/watch.go
+++ b/internal/fleet/planner/watch.go
@@ -28,9 +28,7 @@
 		cancel()
 		if fault.Is(err, fault.RetryHorizon) {
 			t.p.Meter.Inc("planner_watch_restart")
-			start := time.Now()
-			events, next, err = t.readAll(store.JobPrefix)
-			t.p.Log.Info("jobs read again: the store has discarded their changes", "term", t.revision, "from", from, "to", next, "records", len(events), "took_ms", time.Since(start).Milliseconds())
+			events, next, err = t.rereadJobs(from)
 		}
 		if err != nil {
 			t.p.Meter.Inc("planner_watch_retry")
@@ -48,6 +46,16 @@
 	}
 }
 
+// rereadJobs reads all records of jobs since the store no longer has the changes after a revision.
+func (t *term) rereadJobs(from int64) ([]store.Item, int64, error) {
+	start := time.Now()
+	items, at, err := t.readAll(store.JobPrefix)
+	if err == nil {
+		t.p.Log.Info("jobs read again: the store has discarded their changes", "term", t.revision, "from", from, "to", at, "records", len(items), "took_ms", time.Since(start).Milliseconds())
+	}
+	return items, at, err
+}
+
 // applyJobItems applies records of jobs and cancellations. Cancellations are applied
 // last, since a page may list one before its job.
 func (t *term) applyJobItems(items []store.Item, source string) {
@@ -73,8 +81,9 @@
 			t.p.Log.Error("job record could not be decoded", "job", id, "error", err)
 			continue
 		}
-		if j := t.jobs[id]; j != nil && j.removedAt != 0 && it.Revision > j.revision {
-			// The id was accepted again after the removal of the old job's records.
+		if j := t.jobs[id]; j != nil && it.Revision > j.revision && j.isFinal() {
+			// A job's record is written once, before its run record. So the records of this
+			// one were removed, and the id was accepted again.
 			delete(t.jobs, id)
 		}
 		t.applySpec(spec, source)
