--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -127,15 +127,10 @@
 	t, err := js.find(c)
 	age := js.Config.Age()
 	if err == nil && age < maxConfigAge || age < follow.FreshAge {
-		first, waits := js.refreshes.first()
-		if !waits || arrived.Sub(first) < js.RollbackSlack/2 {
-			return t, err
+		if js.awaitEarlierCall(ctx, arrived) {
+			return js.find(c)
 		}
-		js.Meter.Inc("call_kept_in_order")
-		ctx, cancel := context.WithDeadline(ctx, first.Add(refreshTimeout))
-		defer cancel()
-		_ = js.Config.Refresh(ctx)
-		return js.find(c)
+		return t, err
 	}
 	js.refreshes.add(arrived)
 	defer js.refreshes.remove(arrived)
@@ -148,6 +143,23 @@
 	return js.find(c)
 }
 
+// awaitEarlierCall waits for the read of the configuration that a call waits for which arrived long
+// before, until that call stops waiting. It returns false at once if there is none.
+func (js *JobService) awaitEarlierCall(ctx context.Context, arrived time.Time) bool {
+	first, waits := js.refreshes.first()
+	// The other half of the slack is for the time that the two calls took to arrive.
+	if !waits || arrived.Sub(first) < js.RollbackSlack/2 {
+		return false
+	}
+	js.Meter.Inc("call_kept_in_order")
+	ctx, cancel := context.WithDeadline(ctx, first.Add(refreshTimeout))
+	defer cancel()
+	if err := js.Config.Refresh(ctx); err != nil {
+		js.Log.Debug("can't refresh the configuration for a call that waited for an earlier one", "waited_ms", time.Since(arrived).Milliseconds(), "error", err)
+	}
+	return true
+}
+
 // recheck returns an error if a newer configuration came into force during the call
 // and does not allow it: no call may be answered by an older configuration after
 // another was answered by a newer one.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -111,7 +111,8 @@
 	n.health = &health{log: n.Log, meter: n.Meter, notReady: n.notReady}
 	n.jobService = &entry.JobService{
 		Config: n.follower, Store: n.path, Planner: &plannerRouter{n}, Disabled: s.Disabled, MaxValueBytes: s.Bounds.MaxValueBytes,
-		StoreWrites: s.StoreWrites, VMs: func() int { return n.peers.Count() + 1 }, MaxCalls: maxCalls(s.MaxSockets), RollbackSlack: s.Bounds.RollbackSlack, MaxJobMemory: maxJobMemory(s.MemoryBytes), Log: n.Log, Meter: n.Meter,
+		StoreWrites: s.StoreWrites, VMs: func() int { return n.peers.Count() + 1 }, MaxCalls: maxCalls(s.MaxSockets), MaxJobMemory: maxJobMemory(s.MemoryBytes),
+		RollbackSlack: s.Bounds.RollbackSlack, Log: n.Log, Meter: n.Meter,
 	}
 }
 
--- a/internal/fleet/planner/requeue_test.go
+++ b/internal/fleet/planner/requeue_test.go
@@ -32,6 +32,17 @@
 	return q
 }
 
+// newMovedQueueFleet returns a fleet whose configuration, version 7, sends the queue "solve" to a
+// service without workers.
+func newMovedQueueFleet(t *testing.T, workers int) (*testFleet, *changingConfig) {
+	fleet, cfg := newTestFleet(t, 1, workers), &changingConfig{}
+	cfg.apply(7, "old")
+	fleet.configure = func(p *planner.Planner) { p.Config = cfg }
+	fleet.startVM("a")
+	time.Sleep(2 * time.Second)
+	return fleet, cfg
+}
+
 // submitUnder submits a job that was accepted under a version of the configuration, which sends
 // its queue to a service.
 func (f *testFleet) submitUnder(version int64, service, id string) {
@@ -49,13 +60,8 @@
 func TestJobAcceptedUnderOlderConfigurationRuns(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := newTestFleet(t, 1, 2)
+		fleet, cfg := newMovedQueueFleet(t, 2)
 		defer fleet.close()
-		cfg := &changingConfig{}
-		cfg.apply(7, "old")
-		fleet.configure = func(p *planner.Planner) { p.Config = cfg }
-		fleet.startVM("a")
-		time.Sleep(2 * time.Second)
 		fleet.submitUnder(7, "old", jobID(1))
 		time.Sleep(2 * time.Second)
 		is.Equal(fleet.world.Starts(), 0) // "old" has no workers
@@ -72,13 +78,8 @@
 func TestJobKeepsQueueOfNewerConfiguration(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := newTestFleet(t, 1, 1)
+		fleet, cfg := newMovedQueueFleet(t, 1)
 		defer fleet.close()
-		cfg := &changingConfig{}
-		cfg.apply(7, "old")
-		fleet.configure = func(p *planner.Planner) { p.Config = cfg }
-		fleet.startVM("a")
-		time.Sleep(2 * time.Second)
 		fleet.submitUnder(12, "svc", jobID(1))
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(fleet.world.Starts(), 1)
