--- a/internal/fleet/entry/order_test.go
+++ b/internal/fleet/entry/order_test.go
@@ -16,26 +16,21 @@
 	"github.com/dogwoodworks/dogwoodworks/internal/fleet/model"
 )
 
-// slowConfig is a configuration whose next version is read in a time; 0 if no read ends.
+// slowConfig is a configuration whose next version is read at a time; zero if no read ends.
 type slowConfig struct {
 	current atomic.Pointer[model.Config]
 	next    *model.Config
-	takes   time.Duration
-	// readAt is when the first read ends; zero before it begins.
-	readAt time.Time
+	readAt  time.Time
 }
 
 func (c *slowConfig) Current() *model.Config { return c.current.Load() }
 func (c *slowConfig) Age() time.Duration     { return time.Second }
 
 func (c *slowConfig) Refresh(ctx context.Context) error {
-	if c.takes == 0 {
+	if c.readAt.IsZero() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if c.readAt.IsZero() {
-		c.readAt = time.Now().Add(c.takes)
-	}
 	select {
 	case <-time.After(time.Until(c.readAt)):
 		c.current.Store(c.next)
@@ -63,7 +58,7 @@
 func TestCallDoesNotOvertakeOneThatWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		js := newOrderedService(&slowConfig{takes: 700 * time.Millisecond})
+		js := newOrderedService(&slowConfig{readAt: time.Now().Add(700 * time.Millisecond)})
 		first := make(chan error, 1)
 		go func() {
 			_, err := js.Find(t.Context(), entry.Call{Path: "/new/"})
